Lay out the workspace, its layers, lints and contracts

Cause: the project starts empty. Ruled out: a single package (layers could not be checked), type stripping (Node.js 20 has none, so tsc -b builds).

--- /dev/null
+++ b/packages/base/src/common/deferred.ts
@@ -0,0 +1,25 @@
+/** A promise that is settled from outside. */
+
+/** Holds a promise together with the functions that settle it. */
+export class Deferred<Value> {
+  readonly promise: Promise<Value>;
+  #resolve!: (value: Value) => void;
+  #reject!: (reason: Error) => void;
+
+  constructor() {
+    this.promise = new Promise<Value>((resolve, reject) => {
+      this.#resolve = resolve;
+      this.#reject = reject;
+    });
+  }
+
+  /** Fulfils the promise; later calls do nothing. */
+  resolve(value: Value): void {
+    this.#resolve(value);
+  }
+
+  /** Rejects the promise; later calls do nothing. */
+  reject(reason: Error): void {
+    this.#reject(reason);
+  }
+}
--- /dev/null
+++ b/packages/base/src/mod.ts
@@ -0,0 +1,19 @@
+/** Clock, randomness, errors, logs and asynchronous helpers. */
+
+export { type BackoffOptions, computeBackoff } from "./common/backoff.ts";
+export { Clock, ManualClock, SystemClock } from "./common/clock.ts";
+export { Deferred } from "./common/deferred.ts";
+export { Emitter } from "./common/emitter.ts";
+export {
+  describeError,
+  ProductError,
+  type ProductErrorOptions,
+} from "./common/product_error.ts";
+export { RandomSource } from "./common/random.ts";
+export {
+  createLogger,
+  createSilentLogger,
+  type LogFields,
+  Logger,
+  LogLevel,
+} from "./node/logger.ts";
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,3 @@
+/** The rattanvane command line. */
+
+export {};
--- /dev/null
+++ b/packages/configuration/src/change.ts
@@ -0,0 +1,38 @@
+/** The small changes that the configuration log is made of. */
+
+import type { Endpoint, Organisation, Service, Zone } from "./model.ts";
+
+/** The kinds of operations in a change. */
+export enum OperationKind {
+  PutOrganisation = "putOrganisation",
+  RemoveOrganisation = "removeOrganisation",
+  PutService = "putService",
+  RemoveService = "removeService",
+  PutZone = "putZone",
+  RemoveZone = "removeZone",
+  PutEndpoint = "putEndpoint",
+  RemoveEndpoint = "removeEndpoint",
+}
+
+/** One operation of a change. */
+export type Operation =
+  | { kind: OperationKind.PutOrganisation; organisation: Organisation }
+  | { kind: OperationKind.RemoveOrganisation; name: string }
+  | { kind: OperationKind.PutService; service: Service }
+  | { kind: OperationKind.RemoveService; name: string }
+  | { kind: OperationKind.PutZone; zone: Zone }
+  | { kind: OperationKind.RemoveZone; name: string }
+  | { kind: OperationKind.PutEndpoint; endpoint: Endpoint }
+  | { kind: OperationKind.RemoveEndpoint; name: string };
+
+/** An accepted change; it takes effect whole or not at all. */
+export interface Change {
+  /** Its place in the log; the first change has version 1. */
+  version: number;
+  /** Unique; tells a writer whose answer was lost that the row is its own. */
+  id: string;
+  author: string;
+  /** Milliseconds since the Unix epoch. */
+  acceptedAt: number;
+  operations: Operation[];
+}
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,4 @@
+/** The fleet's configuration. */
+
+export { type Change, type Operation, OperationKind } from "./change.ts";
+export * from "./model.ts";
--- /dev/null
+++ b/packages/fairness/src/mod.ts
@@ -0,0 +1,3 @@
+/** Fair queueing between organisations with costs known at the end. */
+
+export {};
--- /dev/null
+++ b/packages/limits/src/mod.ts
@@ -0,0 +1,3 @@
+/** Endpoint limits, cold starts, suspects and quarantine. */
+
+export {};
--- /dev/null
+++ b/packages/membership/src/mod.ts
@@ -0,0 +1,3 @@
+/** Failure detection and gossip between the VMs of an availability zone. */
+
+export {};
--- /dev/null
+++ b/packages/once/src/mod.ts
@@ -0,0 +1,3 @@
+/** At-most-once execution of calls that must not be repeated. */
+
+export {};
--- /dev/null
+++ b/packages/protocol/src/messages.ts
@@ -0,0 +1,50 @@
+/** All messages between routers. */
+
+import type * as configuration from "./configuration_messages.ts";
+import type * as key from "./key_messages.ts";
+import type * as membership from "./membership_messages.ts";
+import type * as scheduling from "./scheduling_messages.ts";
+
+/** Messages of failure detection. */
+export type MembershipMessage =
+  | membership.ProbeMessage
+  | membership.ProbeReplyMessage
+  | membership.IndirectProbeMessage
+  | membership.IndirectProbeReplyMessage;
+
+/** Messages to the scheduler of a pool. */
+export type SchedulerMessage =
+  | scheduling.EnqueueMessage
+  | scheduling.CancelEntryMessage
+  | scheduling.DeclineGrantMessage
+  | scheduling.ProgressMessage
+  | scheduling.FinishMessage
+  | scheduling.WorkReportMessage
+  | scheduling.HandoverMessage
+  | scheduling.CounterDeltaMessage
+  | scheduling.OfferMessage
+  | scheduling.MoveEntriesMessage;
+
+/** Messages to an ingress. */
+export type IngressMessage =
+  | scheduling.GrantMessage
+  | scheduling.RefuseMessage
+  | scheduling.RequestWorkMessage
+  | scheduling.NotSchedulerMessage
+  | scheduling.EntryMovedMessage;
+
+/** Messages that spread the configuration. */
+export type ConfigurationMessage =
+  | configuration.RequestChangesMessage
+  | configuration.ChangesMessage;
+
+/** Messages about issued keys. */
+export type KeyMessage = key.RunKeyMessage | key.KeyResultMessage;
+
+/** Any message between routers. */
+export type Message =
+  | MembershipMessage
+  | SchedulerMessage
+  | IngressMessage
+  | ConfigurationMessage
+  | KeyMessage;
--- /dev/null
+++ b/packages/router/src/mod.ts
@@ -0,0 +1,3 @@
+/** The router daemon: ingress, scheduler host and control port. */
+
+export {};
--- /dev/null
+++ b/packages/scheduling/src/mod.ts
@@ -0,0 +1,3 @@
+/** Ownership of pools, terms and the scheduler of a pool. */
+
+export {};
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,3 @@
+/** The router's settings file: schema, checks and defaults. */
+
+export {};
--- /dev/null
+++ b/packages/tools/src/check_layers.ts
@@ -0,0 +1,77 @@
+/** Fails when a file imports from its own layer or from one above it. */
+
+import { readFileSync } from "node:fs";
+import { sep } from "node:path";
+import process from "node:process";
+import { listSourceFiles } from "./source_files.ts";
+
+/** The packages from the lowest layer to the highest. */
+const LAYERS: readonly (readonly string[])[] = [
+  ["base"],
+  ["protocol", "settings"],
+  ["platform"],
+  ["configuration"],
+  ["membership", "fairness", "limits", "once"],
+  ["scheduling"],
+  ["router"],
+  ["cli"],
+  ["emulator"],
+  ["bench"],
+  ["tools"],
+];
+
+/** Test support that no package of the product may import. */
+const TEST_SUPPORT = new Set(["emulator", "bench", "tools"]);
+
+const IMPORT_PATTERN = /from "(@rattanvane\/([a-z]+)[^"]*|rattanvane)"/;
+
+interface Violation {
+  file: string;
+  line: number;
+  message: string;
+}
+
+function findLayer(packageName: string): number {
+  return LAYERS.findIndex((layer) => layer.includes(packageName));
+}
+
+function checkFile(file: string): Violation[] {
+  const violations: Violation[] = [];
+  const importer = file.split(sep)[1] ?? "";
+  const lines = readFileSync(file, "utf8").split("\n");
+  lines.forEach((text, index) => {
+    const message = checkImport(importer, text);
+    if (message !== undefined) {
+      violations.push({ file, line: index + 1, message });
+    }
+  });
+  return violations;
+}
+
+function checkImport(importer: string, text: string): string | undefined {
+  const match = IMPORT_PATTERN.exec(text);
+  if (match === null) {
+    return undefined;
+  }
+  const imported = match[2] ?? "cli";
+  if (findLayer(importer) < 0 || findLayer(imported) < 0) {
+    return `"${importer}" or "${imported}" has no layer; add it to LAYERS`;
+  }
+  if (TEST_SUPPORT.has(imported) && !TEST_SUPPORT.has(importer)) {
+    return `"${importer}" imports test support "${imported}"; move the code`;
+  }
+  if (findLayer(imported) >= findLayer(importer)) {
+    return `"${importer}" imports "${imported}", which is not below it; ` +
+      "move the shared code to a lower package";
+  }
+  return undefined;
+}
+
+const violations = listSourceFiles().flatMap(checkFile);
+for (const violation of violations) {
+  console.error(`${violation.file}:${violation.line}: ${violation.message}`);
+}
+if (violations.length > 0) {
+  process.exit(1);
+}
+console.log("Layer lint passed");
--- /dev/null
+++ b/packages/tools/src/mod.ts
@@ -0,0 +1,3 @@
+/** Development tools: lints and the test runner. */
+
+export {};
--- /dev/null
+++ b/packages/tools/src/source_files.ts
@@ -0,0 +1,27 @@
+/** Finds the workspace's own source files. */
+
+import { readdirSync } from "node:fs";
+import { join } from "node:path";
+
+/** The folder that holds the packages. */
+export const PACKAGES_FOLDER = "packages";
+
+/** Lists the TypeScript sources of all packages, as paths from the root. */
+export function listSourceFiles(): string[] {
+  const files: string[] = [];
+  for (const name of readdirSync(PACKAGES_FOLDER)) {
+    collectFiles(join(PACKAGES_FOLDER, name, "src"), files);
+  }
+  return files.sort();
+}
+
+function collectFiles(folder: string, files: string[]): void {
+  for (const entry of readdirSync(folder, { withFileTypes: true })) {
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) {
+      collectFiles(path, files);
+    } else if (entry.name.endsWith(".ts")) {
+      files.push(path);
+    }
+  }
+}
