Carry the holder's contact with a pool's term

Cause: schedulers of other zones know few contacts here and could not reach the holder by its id. Change: the gossiped term carries the contact. Result: builds; not yet used.

--- a/packages/protocol/src/membership_messages.ts
+++ b/packages/protocol/src/membership_messages.ts
@@ -32,6 +32,8 @@
 export interface PoolTerm {
   pool: PoolId;
   term: Term;
+  /** How the term's holder is reached, also from another zone. */
+  contact: VmContact;
 }
 
 /** News that rides on probes and their replies. */
