Connect routers over framed TCP with a proof of the fleet key

Cause: nothing carried the inner protocol. Ruled out: a shared secret in the hello (can be recorded and replayed) and one shared connection a pair (both sides dial at once and one has to win).

--- /dev/null
+++ b/packages/base/src/common/child_abort.ts
@@ -0,0 +1,28 @@
+/** Abort signals that end with their parent or on their own. */
+
+/** A signal below another one; it leaves nothing behind at its parent. */
+export class ChildAbort {
+  readonly #controller = new AbortController();
+  readonly #parent: AbortSignal;
+  readonly #follow = () => this.abort();
+
+  constructor(parent: AbortSignal) {
+    this.#parent = parent;
+    if (parent.aborted) {
+      this.#controller.abort();
+      return;
+    }
+    parent.addEventListener("abort", this.#follow, { once: true });
+  }
+
+  /** Aborts when the parent aborts or `abort` is called. */
+  get signal(): AbortSignal {
+    return this.#controller.signal;
+  }
+
+  /** Aborts this signal and lets go of the parent. */
+  abort(): void {
+    this.#parent.removeEventListener("abort", this.#follow);
+    this.#controller.abort();
+  }
+}
--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -1,6 +1,7 @@
 /** Clock, randomness, errors, logs and asynchronous helpers. */
 
 export { type BackoffOptions, computeBackoff } from "./common/backoff.ts";
+export { ChildAbort } from "./common/child_abort.ts";
 export { Clock, ManualClock, SystemClock } from "./common/clock.ts";
 export { Deferred } from "./common/deferred.ts";
 export { Emitter } from "./common/emitter.ts";
@@ -10,6 +11,7 @@
   type ProductErrorOptions,
 } from "./common/product_error.ts";
 export { RandomSource } from "./common/random.ts";
+export { type DeadlineOptions, runWithDeadline } from "./common/timeout.ts";
 export {
   createLogger,
   createSilentLogger,
--- /dev/null
+++ b/packages/protocol/src/handshake.ts
@@ -0,0 +1,204 @@
+/**
+ * Proves to both sides of a connection that the other knows a fleet key.
+ * Fresh nonces of both sides enter every proof, so that a recorded handshake
+ * is worth nothing on another connection.
+ */
+
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import { decodeValue, encodeValue } from "./codec.ts";
+import type { FramedSocket } from "./framed_socket.ts";
+import { FrameSeal } from "./frame_seal.ts";
+import type { VmContact, VmId } from "./identifiers.ts";
+import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
+
+/** The version of the inner protocol; both sides must have the same. */
+export const PROTOCOL_VERSION = 1;
+
+/** The largest frame before the handshake is done. */
+export const HANDSHAKE_FRAME_BYTES = 2048;
+
+const NONCE_BYTES = 32;
+const KEY_ID_BYTES = 8;
+
+/** Domain separation of the values that are derived from a fleet key. */
+enum Purpose {
+  KeyId = "key id",
+  DialerProof = "dialer proof",
+  ListenerProof = "listener proof",
+  Session = "session",
+}
+
+interface DialerHello {
+  version: number;
+  nonce: Uint8Array;
+  keyId: Uint8Array;
+  contact: VmContact;
+}
+
+interface ListenerHello {
+  version: number;
+  nonce: Uint8Array;
+  vm: VmId;
+  proof: Uint8Array;
+}
+
+interface DialerProof {
+  proof: Uint8Array;
+}
+
+/** What a dialer knows after the handshake. */
+export interface DialedSession {
+  listener: VmId;
+  seal: FrameSeal;
+}
+
+/** What a listener knows after the handshake. */
+export interface AcceptedSession {
+  dialer: VmContact;
+  seal: FrameSeal;
+}
+
+/** Performs the dialer's side; throws a ProtocolError. */
+export async function runDialerHandshake(
+  socket: FramedSocket,
+  options: { self: VmContact; fleetKey: string },
+): Promise<DialedSession> {
+  const { self, fleetKey } = options;
+  const nonce = randomBytes(NONCE_BYTES);
+  const hello: DialerHello = {
+    version: PROTOCOL_VERSION,
+    nonce,
+    keyId: computeKeyId(fleetKey),
+    contact: self,
+  };
+  await socket.write(encodeValue(hello));
+  const answer = await readHello<ListenerHello>(socket);
+  checkVersion(answer.version);
+  const transcript = buildTranscript(hello, answer);
+  checkProof(
+    answer.proof,
+    computeMac(fleetKey, Purpose.ListenerProof, transcript),
+  );
+  const proof: DialerProof = {
+    proof: computeMac(fleetKey, Purpose.DialerProof, transcript),
+  };
+  await socket.write(encodeValue(proof));
+  return { listener: answer.vm, seal: createSeal(fleetKey, transcript) };
+}
+
+/** Performs the listener's side; throws a ProtocolError. */
+export async function runListenerHandshake(
+  socket: FramedSocket,
+  options: { self: VmId; fleetKeys: readonly string[] },
+): Promise<AcceptedSession> {
+  const hello = await readHello<DialerHello>(socket);
+  checkVersion(hello.version);
+  checkContact(hello.contact);
+  const fleetKey = findKey(hello.keyId, options.fleetKeys);
+  const answer: Omit<ListenerHello, "proof"> = {
+    version: PROTOCOL_VERSION,
+    nonce: randomBytes(NONCE_BYTES),
+    vm: options.self,
+  };
+  const transcript = buildTranscript(hello, answer);
+  const proof = computeMac(fleetKey, Purpose.ListenerProof, transcript);
+  await socket.write(encodeValue({ ...answer, proof }));
+  const closing = await readHello<DialerProof>(socket);
+  checkProof(
+    closing.proof,
+    computeMac(fleetKey, Purpose.DialerProof, transcript),
+  );
+  return { dialer: hello.contact, seal: createSeal(fleetKey, transcript) };
+}
+
+async function readHello<Hello extends object>(
+  socket: FramedSocket,
+): Promise<Hello> {
+  const frame = await socket.read();
+  if (frame === undefined) {
+    const problem = "The other side closed the connection in the handshake";
+    throw new ProtocolError(ProtocolErrorKind.WrongKey, problem);
+  }
+  const value = decodeValue(frame);
+  if (value.isErr()) {
+    throw value.error;
+  }
+  if (typeof value.value !== "object" || value.value === null) {
+    const problem = "Cannot read a handshake that is not an object";
+    throw new ProtocolError(ProtocolErrorKind.BadFrame, problem);
+  }
+  return value.value as Hello;
+}
+
+function checkVersion(version: unknown): void {
+  if (version !== PROTOCOL_VERSION) {
+    const problem = `Cannot speak protocol version "${String(version)}"`;
+    throw new ProtocolError(ProtocolErrorKind.WrongVersion, problem);
+  }
+}
+
+function checkContact(contact: unknown): void {
+  const complete = typeof contact === "object" && contact !== null &&
+    "vm" in contact && typeof contact.vm === "string" &&
+    "host" in contact && typeof contact.host === "string" &&
+    "controlPort" in contact && typeof contact.controlPort === "number";
+  if (!complete) {
+    const problem = "Cannot read the contact in a handshake";
+    throw new ProtocolError(ProtocolErrorKind.BadFrame, problem);
+  }
+}
+
+function checkProof(actual: unknown, expected: Uint8Array): void {
+  const matches = actual instanceof Uint8Array &&
+    actual.length === expected.length && timingSafeEqual(actual, expected);
+  if (!matches) {
+    const problem = "The other side does not know the fleet key";
+    throw new ProtocolError(ProtocolErrorKind.WrongKey, problem);
+  }
+}
+
+function findKey(keyId: unknown, fleetKeys: readonly string[]): string {
+  for (const fleetKey of fleetKeys) {
+    const expected = computeKeyId(fleetKey);
+    const matches = keyId instanceof Uint8Array &&
+      keyId.length === expected.length && timingSafeEqual(keyId, expected);
+    if (matches) {
+      return fleetKey;
+    }
+  }
+  const problem = "The other side uses a fleet key that is not accepted here";
+  throw new ProtocolError(ProtocolErrorKind.WrongKey, problem);
+}
+
+function computeKeyId(fleetKey: string): Uint8Array {
+  return computeMac(fleetKey, Purpose.KeyId, new Uint8Array())
+    .subarray(0, KEY_ID_BYTES);
+}
+
+function buildTranscript(
+  hello: DialerHello,
+  answer: Omit<ListenerHello, "proof">,
+): Uint8Array {
+  return encodeValue([
+    hello.version,
+    hello.nonce,
+    hello.contact,
+    answer.nonce,
+    answer.vm,
+  ]);
+}
+
+function createSeal(fleetKey: string, transcript: Uint8Array): FrameSeal {
+  return new FrameSeal(computeMac(fleetKey, Purpose.Session, transcript));
+}
+
+function computeMac(
+  fleetKey: string,
+  purpose: Purpose,
+  content: Uint8Array,
+): Uint8Array {
+  const mac = createHmac("sha256", fleetKey);
+  mac.update(`${purpose}\n`);
+  mac.update(content);
+  return mac.digest();
+}
--- /dev/null
+++ b/packages/protocol/src/incoming_connection.ts
@@ -0,0 +1,94 @@
+/** A connection that a peer dialled to this router. */
+
+import type { Socket } from "node:net";
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  runWithDeadline,
+} from "@rattanvane/base";
+import { decodeMessage } from "./codec.ts";
+import { MAXIMUM_FRAME_BYTES } from "./frame.ts";
+import { FramedSocket } from "./framed_socket.ts";
+import {
+  type AcceptedSession,
+  HANDSHAKE_FRAME_BYTES,
+  runListenerHandshake,
+} from "./handshake.ts";
+import type { VmContact, VmId } from "./identifiers.ts";
+import type { Message } from "./messages.ts";
+
+const HANDSHAKE_TIMEOUT_MILLISECONDS = 3_000;
+
+/** What serving a connection needs. */
+export interface IncomingOptions {
+  self: VmId;
+  fleetKeys: readonly string[];
+  clock: Clock;
+  logger: Logger;
+  /** Called once, when the peer has proved that it knows the fleet key. */
+  accept: (dialer: VmContact) => void;
+  receive: (from: VmId, message: Message) => void;
+  countReceived: (bytes: number) => void;
+}
+
+/** Serves a connection until it ends or the signal aborts. */
+export async function runIncomingConnection(
+  socket: Socket,
+  options: IncomingOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const framed = new FramedSocket(socket, HANDSHAKE_FRAME_BYTES);
+  const stop = () => framed.close();
+  signal.addEventListener("abort", stop, { once: true });
+  try {
+    const session = await runTimedHandshake(framed, options, signal);
+    options.accept(session.dialer);
+    await readMessages(framed, session, options);
+  } catch (thrown) {
+    options.logger.debug("closed a connection", {
+      address: socket.remoteAddress,
+      reason: describeError(thrown),
+    });
+  } finally {
+    signal.removeEventListener("abort", stop);
+    framed.close();
+  }
+}
+
+async function runTimedHandshake(
+  framed: FramedSocket,
+  options: IncomingOptions,
+  signal: AbortSignal,
+): Promise<AcceptedSession> {
+  const session = await runWithDeadline(
+    () => runListenerHandshake(framed, options),
+    {
+      clock: options.clock,
+      milliseconds: HANDSHAKE_TIMEOUT_MILLISECONDS,
+      expire: () => framed.close(),
+    },
+    signal,
+  );
+  framed.setMaximumFrame(MAXIMUM_FRAME_BYTES);
+  return session;
+}
+
+async function readMessages(
+  framed: FramedSocket,
+  session: AcceptedSession,
+  options: IncomingOptions,
+): Promise<void> {
+  for (;;) {
+    const frame = await framed.read();
+    if (frame === undefined) {
+      return;
+    }
+    options.countReceived(frame.length);
+    const message = decodeMessage(session.seal.open(frame));
+    if (message.isErr()) {
+      throw message.error;
+    }
+    options.receive(session.dialer.vm, message.value);
+  }
+}
