Add in-memory stand-ins of the platform for tests

Cause: tests of the change log, of keys and of leases need a table whose outages, slowness and lost answers they control. Change: MemoryTableService and MemoryObjectStore with PlatformFaults, at @rattanvane/platform/testing. Ruled out: putting them into the emulator package, which product packages may not import, also for their tests.

--- /dev/null
+++ b/packages/platform/src/testing/mod.ts
@@ -0,0 +1,5 @@
+/** In-memory stand-ins of the platform, for the tests of other packages. */
+
+export { MemoryObjectStore } from "./memory_object_store.ts";
+export { MemoryTableService } from "./memory_table_service.ts";
+export { PlatformFaults } from "./platform_faults.ts";
