Add fair queueing with costs known at the end

Cause: organisations must share a pool fairly although a request's cost shows only at its end and hints lie. Ruled out: rate limits (idle capacity), deficit round robin (needs costs first), charging at the end only (many short-looking requests slip in), a Map as FIFO (its first key walks over deleted ones). Change: virtual counters in a heap over linked lists, an estimator on which hints lose influence, idempotent totals of other zones, the lift on return from idle, a cap of debt after a cut, and the gap's bound as a formula.

--- /dev/null
+++ b/packages/fairness/src/account.ts
@@ -0,0 +1,30 @@
+/** What a fair queue keeps of one organisation. */
+
+import type { OrganisationId } from "@rattanvane/protocol";
+import { LinkedQueue } from "./linked_queue.ts";
+
+/** One organisation's counter and waiting entries. */
+export class Account<Entry> {
+  readonly organisation: OrganisationId;
+  /** Tells accounts with equal counters apart, the older first. */
+  readonly order: number;
+  readonly waiting = new LinkedQueue<Entry>();
+  weight = 1;
+  /** Service received divided by the weight, plus lifts. */
+  virtual = 0;
+  /** Service given here since the queue was created, in cost units. */
+  service = 0;
+
+  constructor(organisation: OrganisationId, order: number) {
+    this.organisation = organisation;
+    this.order = order;
+  }
+}
+
+/** Orders accounts by their counters. */
+export function compareAccounts<Entry>(
+  first: Account<Entry>,
+  second: Account<Entry>,
+): number {
+  return first.virtual - second.virtual || first.order - second.order;
+}
--- /dev/null
+++ b/packages/fairness/src/fair_queue_test.ts
@@ -0,0 +1,264 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { describe, it } from "mocha";
+import { RandomSource } from "@rattanvane/base";
+import {
+  type Charge,
+  DEFAULT_FAIR_QUEUE_SETTINGS,
+  FairQueue,
+  PickVerdict,
+} from "./fair_queue.ts";
+import { computeGapBound } from "./gap_bound.ts";
+
+interface TestEntry {
+  request: string;
+  organisation: string;
+  cost: number;
+}
+
+function createQueue(): FairQueue<TestEntry> {
+  return new FairQueue<TestEntry>(DEFAULT_FAIR_QUEUE_SETTINGS);
+}
+
+function addEntries(
+  queue: FairQueue<TestEntry>,
+  options: { organisation: string; count: number; cost?: number },
+): void {
+  const { organisation, count, cost = 1 } = options;
+  const first = queue.countWaiting(organisation);
+  for (let index = 0; index < count; index++) {
+    const request = `${organisation}${first + index}`;
+    queue.add({ request, organisation, cost });
+  }
+}
+
+function removeNext(queue: FairQueue<TestEntry>): TestEntry | undefined {
+  const entry = queue.pick(() => PickVerdict.Take);
+  return entry === undefined ? undefined : queue.remove(entry.request);
+}
+
+interface Tenant {
+  organisation: string;
+  weight: number;
+  /** Requests that are kept waiting. */
+  backlog: number;
+  largestCost: number;
+  /** What it is charged with at the start. */
+  estimate: number;
+}
+
+interface SimulationOptions {
+  tenants: readonly [Tenant, Tenant];
+  slots: number;
+  steps: number;
+  seed: number;
+  /** Whether the cost is known while an attempt runs or only at its end. */
+  progress: boolean;
+}
+
+interface Running {
+  charge: Charge;
+  cost: number;
+  done: number;
+}
+
+/** Runs slots that give a unit a step; returns the widest normalised gap. */
+function measureGap(options: SimulationOptions): number {
+  const { tenants, progress } = options;
+  const random = new RandomSource(options.seed);
+  const queue = createQueue();
+  const service = [0, 0];
+  let running: Running[] = [];
+  let next = 0;
+  let lowest = 0;
+  let highest = 0;
+  tenants.forEach((tenant) =>
+    queue.updateWeight(tenant.organisation, tenant.weight)
+  );
+  for (let step = 0; step < options.steps; step++) {
+    while (running.length < options.slots) {
+      for (const { organisation, backlog, largestCost } of tenants) {
+        while (queue.countWaiting(organisation) < backlog) {
+          const cost = random.nextInteger(1, largestCost);
+          queue.add({ request: `r${next++}`, organisation, cost });
+        }
+      }
+      const entry = removeNext(queue) as TestEntry;
+      const tenant = findTenant(tenants, entry.organisation);
+      const charge = queue.charge(entry.organisation, tenant.estimate);
+      running.push({ charge, cost: entry.cost, done: 0 });
+    }
+    for (const attempt of running) {
+      attempt.done++;
+      const isFirst = attempt.charge.organisation === tenants[0].organisation;
+      service[isFirst ? 0 : 1]! += 1;
+      if (progress && attempt.done > attempt.charge.amount) {
+        queue.updateCharge(attempt.charge, attempt.done);
+      }
+      if (attempt.done === attempt.cost) {
+        queue.updateCharge(attempt.charge, attempt.cost);
+      }
+    }
+    running = running.filter((attempt) => attempt.done < attempt.cost);
+    const lead = service[0]! / tenants[0].weight -
+      service[1]! / tenants[1].weight;
+    lowest = Math.min(lowest, lead);
+    highest = Math.max(highest, lead);
+  }
+  return highest - lowest;
+}
+
+function findTenant(tenants: readonly Tenant[], name: string): Tenant {
+  return tenants.find((tenant) => tenant.organisation === name) as Tenant;
+}
+
+function computeBound(options: SimulationOptions): number {
+  const [first, second] = options.tenants.map((tenant) => ({
+    weight: tenant.weight,
+    inFlight: options.slots,
+    largestCost: tenant.largestCost,
+    largestEstimate: tenant.estimate,
+  }));
+  return computeGapBound({
+    first: first!,
+    second: second!,
+    remoteRate: 0,
+    exchangeDelaySeconds: 0,
+    rebalanceThreshold: 0,
+  });
+}
+
+function createTenantArbitrary(organisation: string): fc.Arbitrary<Tenant> {
+  return fc.record({
+    organisation: fc.constant(organisation),
+    weight: fc.constantFrom(0.1, 1, 2, 10),
+    backlog: fc.constantFrom(2, 3, 300),
+    largestCost: fc.integer({ min: 1, max: 60 }),
+    estimate: fc.constantFrom(1, 10, 60, 200),
+  });
+}
+
+describe("FairQueue", () => {
+  it("keeps the gap within its bound, whatever costs and estimates are", () => {
+    const property = fc.property(
+      fc.record({
+        tenants: fc.tuple(
+          createTenantArbitrary("flood"),
+          createTenantArbitrary("quiet"),
+        ),
+        slots: fc.integer({ min: 1, max: 12 }),
+        steps: fc.constant(4000),
+        seed: fc.integer({ min: 1, max: 1e6 }),
+        progress: fc.boolean(),
+      }),
+      (options) => measureGap(options) <= computeBound(options),
+    );
+    fc.assert(property, { seed: 20261, numRuns: 60 });
+  });
+
+  it("gives a flood of a hundred times the requests no more", () => {
+    const gap = measureGap({
+      tenants: [
+        {
+          organisation: "flood",
+          weight: 1,
+          backlog: 300,
+          largestCost: 20,
+          estimate: 10,
+        },
+        {
+          organisation: "quiet",
+          weight: 1,
+          backlog: 3,
+          largestCost: 20,
+          estimate: 10,
+        },
+      ],
+      slots: 4,
+      steps: 20_000,
+      seed: 3,
+      progress: true,
+    });
+    expect(gap).to.be.below(160);
+  });
+
+  it("serves an organisation in the order of arrival", () => {
+    const queue = createQueue();
+    addEntries(queue, { organisation: "a", count: 5 });
+    queue.remove("a2");
+    const order = [];
+    for (let entry = removeNext(queue); entry; entry = removeNext(queue)) {
+      order.push(entry.request);
+    }
+    expect(order).to.deep.equal(["a0", "a1", "a3", "a4"]);
+  });
+
+  it("lifts an organisation that was idle, without credit or debt", () => {
+    const queue = createQueue();
+    addEntries(queue, { organisation: "busy", count: 20 });
+    for (let round = 0; round < 10; round++) {
+      const entry = removeNext(queue) as TestEntry;
+      queue.charge(entry.organisation, 100);
+    }
+    addEntries(queue, { organisation: "late", count: 3 });
+    expect(queue.findVirtual("late")).to.equal(queue.findVirtual("busy"));
+  });
+
+  it("keeps virtual time while nothing waits", () => {
+    const queue = createQueue();
+    for (let round = 0; round < 10; round++) {
+      addEntries(queue, { organisation: "busy", count: 1 });
+      removeNext(queue);
+      queue.charge("busy", 100);
+    }
+    addEntries(queue, { organisation: "late", count: 1 });
+    expect(queue.findVirtual("late")).to.equal(900);
+  });
+
+  it("passes over entries that cannot be placed, up to the look-ahead", () => {
+    const queue = createQueue();
+    addEntries(queue, { organisation: "a", count: 100 });
+    addEntries(queue, { organisation: "b", count: 1 });
+    const judged: string[] = [];
+    const picked = queue.pick((entry) => {
+      judged.push(entry.request);
+      return entry.organisation === "a" ? PickVerdict.Skip : PickVerdict.Take;
+    });
+    expect(picked?.request).to.equal("b0");
+    expect(judged).to.have.lengthOf(9);
+    expect(removeNext(queue)?.request).to.equal("a0");
+  });
+
+  it("corrects a charge at the weight of its grant", () => {
+    const queue = createQueue();
+    queue.updateWeight("a", 2);
+    const charge = queue.charge("a", 100);
+    queue.updateWeight("a", 10);
+    queue.updateCharge(charge, 40);
+    expect(queue.findVirtual("a")).to.equal(20);
+    queue.charge("a", 100);
+    expect(queue.findVirtual("a")).to.equal(30);
+  });
+
+  it("caps the debt that grew during a cut, and only then", () => {
+    const { debtCap } = DEFAULT_FAIR_QUEUE_SETTINGS;
+    const differences = [{ organisation: "a", service: 10 * debtCap }];
+    const queue = createQueue();
+    addEntries(queue, { organisation: "b", count: 1 });
+    queue.applyRemote(differences, { capDebt: true });
+    expect(queue.findVirtual("a")).to.equal(debtCap);
+    queue.applyRemote(differences, { capDebt: false });
+    expect(queue.findVirtual("a")).to.equal(11 * debtCap);
+  });
+
+  it("reports each changed total once", () => {
+    const queue = createQueue();
+    const charge = queue.charge("a", 5);
+    queue.updateCharge(charge, 7);
+    queue.applyRemote([{ organisation: "b", service: 4 }], { capDebt: false });
+    expect(queue.collectChangedTotals()).to.deep.equal([
+      { organisation: "a", service: 7 },
+    ]);
+    expect(queue.collectChangedTotals()).to.deep.equal([]);
+  });
+});
--- a/packages/fairness/src/mod.ts
+++ b/packages/fairness/src/mod.ts
@@ -1,3 +1,28 @@
 /** Fair queueing between organisations with costs known at the end. */
 
-export {};
+export { BinaryHeap, type HeapOrder } from "./binary_heap.ts";
+export {
+  CostEstimator,
+  type CostEstimatorSettings,
+  type CostQuestion,
+  DEFAULT_COST_ESTIMATOR_SETTINGS,
+  type RecordCostOptions,
+} from "./cost_estimator.ts";
+export {
+  type Charge,
+  DEFAULT_FAIR_QUEUE_SETTINGS,
+  type FairEntry,
+  FairQueue,
+  type FairQueueSettings,
+  PickVerdict,
+} from "./fair_queue.ts";
+export {
+  computeGapBound,
+  type GapBoundTerms,
+  type OrganisationTerms,
+} from "./gap_bound.ts";
+export {
+  type RemoteReport,
+  RemoteTotals,
+  type ServiceDifference,
+} from "./remote_totals.ts";
--- /dev/null
+++ b/packages/fairness/src/remote_totals_test.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { type RemoteReport, RemoteTotals } from "./remote_totals.ts";
+
+function createReport(
+  sequence: number,
+  service: number,
+  term = 1,
+): RemoteReport {
+  return {
+    sender: "z2/s@v",
+    term: { number: term, holder: "v" },
+    sequence,
+    totals: [{ organisation: "a", service }],
+  };
+}
+
+interface Case {
+  title: string;
+  reports: RemoteReport[];
+  expected: number;
+}
+
+const CASES: Case[] = [
+  {
+    title: "adds what is new",
+    reports: [createReport(1, 10), createReport(2, 25)],
+    expected: 25,
+  },
+  {
+    title: "ignores a repeat",
+    reports: [createReport(1, 10), createReport(1, 10)],
+    expected: 10,
+  },
+  {
+    title: "ignores one that was overtaken",
+    reports: [createReport(1, 10), createReport(3, 40), createReport(2, 20)],
+    expected: 40,
+  },
+  {
+    title: "makes up for a lost one",
+    reports: [createReport(1, 10), createReport(5, 90)],
+    expected: 90,
+  },
+  {
+    title: "counts a restarted sender from 0 again",
+    reports: [createReport(1, 10), createReport(1, 7, 2)],
+    expected: 17,
+  },
+  {
+    title: "ignores a former term",
+    reports: [createReport(1, 10, 2), createReport(9, 700, 1)],
+    expected: 10,
+  },
+  {
+    title: "does not count a past that it has not seen",
+    reports: [createReport(50, 1000), createReport(51, 1010)],
+    expected: 10,
+  },
+  {
+    title: "takes a correction downwards",
+    reports: [createReport(1, 100), createReport(2, 30)],
+    expected: 30,
+  },
+];
+
+describe("RemoteTotals", () => {
+  for (const { title, reports, expected } of CASES) {
+    it(title, () => {
+      const totals = new RemoteTotals();
+      let sum = 0;
+      for (const report of reports) {
+        for (const difference of totals.merge(report)) {
+          sum += difference.service;
+        }
+      }
+      expect(sum).to.equal(expected);
+    });
+  }
+});
