Add endpoint limits, the quarantine of crashing requests and retry budgets

Cause: a cold endpoint falls over under full load, reports lag, and a request that crashes endpoints comes again. Ruled out: fixed limits, reports as the count of running work, growth by time alone, a fixed number of tries. Change: EndpointLimit (counts by the scheduler, growth on evidence, cold at once on a restart, half-open trials, orphans, foreign load, a share without a lease), CrashEvidence and SuspectRegistry, RetryBudget.

--- /dev/null
+++ b/packages/limits/src/endpoint_limit_test.ts
@@ -0,0 +1,136 @@
+import { AttemptOutcome } from "@rattanvane/protocol";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { EndpointState } from "./endpoint_health.ts";
+import {
+  createEnd,
+  createFixture,
+  createReport,
+  SETTINGS,
+  startAll,
+} from "./testing/endpoint_limit_fixture.ts";
+
+describe("EndpointLimit counts", () => {
+  it("leaves room for foreign requests that a report shows", async () => {
+    const { clock, limit } = createFixture({ coldLimit: 8 });
+    const started = startAll(limit);
+    await clock.advance(1000);
+    started.slice(3).forEach((attempt) =>
+      limit.finishAttempt(attempt, createEnd())
+    );
+    await clock.advance(1000);
+    limit.receiveReport(createReport({ running: 5, ageMilliseconds: 400 }));
+    expect(limit.foreign).to.equal(2);
+    expect(limit.freeSlots).to.equal(3);
+  });
+
+  it("does not take its own ended work for foreign load", async () => {
+    const { clock, limit } = createFixture({ coldLimit: 8 });
+    const started = startAll(limit);
+    await clock.advance(1000);
+    started.forEach((attempt) => limit.finishAttempt(attempt, createEnd()));
+    await clock.advance(100);
+    limit.receiveReport(createReport({ running: 8, ageMilliseconds: 20 }));
+    expect(limit.foreign).to.equal(0);
+    expect(limit.freeSlots).to.equal(8);
+  });
+
+  it("keeps a dead ingress's work until reports show it gone", async () => {
+    const { clock, limit } = createFixture();
+    startAll(limit).forEach((attempt) => limit.orphanAttempt(attempt));
+    await clock.advance(1000);
+    limit.receiveReport(createReport({ running: 1 }));
+    expect(limit.freeSlots).to.equal(1);
+    limit.receiveReport(createReport({ running: 0 }));
+    expect(limit.freeSlots).to.equal(2);
+  });
+
+  it("drops a dead ingress's work in the end without reports", async () => {
+    const { clock, limit } = createFixture();
+    startAll(limit).forEach((attempt) => limit.orphanAttempt(attempt));
+    await clock.advance(SETTINGS.orphanTimeoutMilliseconds - 1);
+    limit.removeExpired();
+    expect(limit.freeSlots).to.equal(0);
+    await clock.advance(1);
+    limit.removeExpired();
+    expect(limit.freeSlots).to.equal(2);
+  });
+
+  it("takes a handed-over limit only for the same boot", () => {
+    for (const bootId of ["b1", "b0"]) {
+      const { limit } = createFixture();
+      limit.restore({ endpoint: "e", bootId, limit: 16 });
+      expect(limit.limit).to.equal(2);
+      limit.receiveReport(createReport());
+      expect(limit.limit).to.equal(bootId === "b1" ? 16 : 2);
+    }
+  });
+});
+
+describe("EndpointLimit health", () => {
+  it("tries a dead endpoint again with one request at a time", async () => {
+    const { clock, limit } = createFixture();
+    const outcome = AttemptOutcome.NotSent;
+    startAll(limit).forEach((attempt) =>
+      limit.finishAttempt(attempt, createEnd({ outcome, bootId: "" }))
+    );
+    expect(limit.freeSlots).to.equal(0);
+    let trials = 0;
+    for (let tick = 0; tick < 600; tick++) {
+      await clock.advance(100);
+      const started = startAll(limit);
+      expect(started.length).to.be.below(2);
+      trials += started.length;
+      started.forEach((attempt) =>
+        limit.finishAttempt(attempt, createEnd({ outcome, bootId: "" }))
+      );
+    }
+    expect(trials).to.be.within(6, 40);
+    await clock.advance(SETTINGS.probe.maximumMilliseconds);
+    const [trial] = startAll(limit);
+    limit.finishAttempt(trial as string, createEnd({ bootId: "b2" }));
+    expect(limit.state).to.equal(EndpointState.Up);
+    expect(limit.freeSlots).to.equal(2);
+  });
+
+  it("tries at once when the endpoint reports again", () => {
+    const { limit } = createFixture();
+    const [attempt] = startAll(limit);
+    const outcome = AttemptOutcome.NotSent;
+    limit.finishAttempt(attempt as string, createEnd({ outcome }));
+    limit.receiveReport(createReport({ bootId: "b2" }));
+    expect(limit.state).to.equal(EndpointState.HalfOpen);
+    expect(limit.freeSlots).to.equal(1);
+  });
+
+  it("does not call an endpoint dead that is slow but delivers", async () => {
+    const { clock, limit } = createFixture();
+    for (let poll = 0; poll < 20; poll++) {
+      await clock.advance(1000);
+      limit.recordProgress();
+      limit.markUnreachable();
+    }
+    expect(limit.state).to.equal(EndpointState.Up);
+  });
+
+  it("does not call an endpoint dead that delivered just now", async () => {
+    const { clock, limit } = createFixture();
+    await clock.advance(60_000);
+    limit.recordProgress();
+    for (let poll = 0; poll < 10; poll++) {
+      await clock.advance(100);
+      limit.markUnreachable();
+    }
+    expect(limit.state).to.equal(EndpointState.Up);
+  });
+
+  it("calls an endpoint dead that is silent", async () => {
+    const { clock, limit } = createFixture();
+    limit.recordProgress();
+    for (let poll = 0; poll < 5; poll++) {
+      await clock.advance(1000);
+      limit.markUnreachable();
+    }
+    expect(limit.state).to.equal(EndpointState.Down);
+  });
+});
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -1,3 +1,26 @@
 /** Endpoint limits, cold starts, suspects and quarantine. */
 
-export {};
+export { CrashEvidence, type LostAttempt } from "./crash_evidence.ts";
+export { EndpointState } from "./endpoint_health.ts";
+export { EndpointLimit } from "./endpoint_limit.ts";
+export {
+  type AttemptEnd,
+  type EndpointLimitOptions,
+  EndpointNews,
+} from "./endpoint_news.ts";
+export type { LimitBounds } from "./limit_growth.ts";
+export type { ReportedLoad } from "./reported_load.ts";
+export {
+  DEFAULT_RETRY_BUDGET_SETTINGS,
+  RetryBudget,
+  type RetryBudgetSettings,
+} from "./retry_budget.ts";
+export {
+  DEFAULT_ENDPOINT_LIMIT_SETTINGS,
+  type EndpointLimitSettings,
+} from "./settings.ts";
+export {
+  DEFAULT_SUSPECT_SETTINGS,
+  SuspectRegistry,
+  type SuspectSettings,
+} from "./suspect_registry.ts";
--- /dev/null
+++ b/packages/limits/src/outstanding_work.ts
@@ -0,0 +1,159 @@
+/** Counts an endpoint's work, with lagging reports only correcting it. */
+
+import type { AttemptId } from "@rattanvane/protocol";
+import type { EndpointLimitSettings } from "./settings.ts";
+
+/** A slot that is used again so soon has not been empty. */
+const REPLACED_MILLISECONDS = 10;
+
+interface CountChange {
+  at: number;
+  /** The count from this moment on. */
+  count: number;
+}
+
+/** Work at an endpoint as a report shows it. */
+export interface WorkSample {
+  /** When the figures were taken, in clock time. */
+  sampledAt: number;
+  /** Running and waiting requests of everyone. */
+  requests: number;
+}
+
+/**
+ * Attempts that this scheduler counts, orphans whose ingress died, and foreign
+ * requests that only reports show. A report is compared with the counts around
+ * the moment at which it was taken, since it lags. Where the counts changed
+ * around it, a scheduler with a lease takes the difference for its own work;
+ * one without keeps what it knew of others as far as that is possible.
+ */
+export class OutstandingWork {
+  readonly #settings: EndpointLimitSettings;
+  readonly #leased: boolean;
+  readonly #attempts = new Map<AttemptId, number>();
+  #history: CountChange[] = [];
+  #orphans = 0;
+  #orphanedAt = 0;
+  #foreign = 0;
+  #foreignAt = 0;
+  #isSure = false;
+
+  constructor(
+    settings: EndpointLimitSettings,
+    options: { leased: boolean },
+  ) {
+    this.#settings = settings;
+    this.#leased = options.leased;
+  }
+
+  /** Attempts that this scheduler has granted and not seen end. */
+  get own(): number {
+    return this.#attempts.size;
+  }
+
+  /** Attempts whose ingress died while they ran. */
+  get orphans(): number {
+    return this.#orphans;
+  }
+
+  /** When an attempt was granted; undefined when it is not counted. */
+  findStart(attempt: AttemptId): number | undefined {
+    return this.#attempts.get(attempt);
+  }
+
+  add(attempt: AttemptId, now: number): void {
+    this.#attempts.set(attempt, now);
+    this.#recordCount(now);
+  }
+
+  /** Returns whether the attempt was counted. */
+  remove(attempt: AttemptId, now: number): boolean {
+    const removed = this.#attempts.delete(attempt);
+    if (removed) {
+      this.#recordCount(now);
+    }
+    return removed;
+  }
+
+  /** Goes on counting an attempt of which nobody will report the end. */
+  orphan(attempt: AttemptId, now: number): void {
+    if (this.remove(attempt, now)) {
+      this.#orphans++;
+      this.#orphanedAt = now;
+    }
+  }
+
+  /** Requests of others; a figure that is too old counts as none. */
+  countForeign(now: number): number {
+    const age = now - this.#foreignAt;
+    return age <= this.#settings.reportFreshMilliseconds ? this.#foreign : 0;
+  }
+
+  /** Whether the last report left no doubt of how many are foreign. */
+  get isSure(): boolean {
+    return this.#isSure;
+  }
+
+  /** Drops orphans that no report has confirmed for too long. */
+  removeExpiredOrphans(now: number): void {
+    const age = now - this.#orphanedAt;
+    if (age >= this.#settings.orphanTimeoutMilliseconds) {
+      this.#orphans = 0;
+    }
+  }
+
+  /** Corrects orphans and foreign requests by a report. */
+  updateFromSample(sample: WorkSample, now: number): void {
+    const slack = this.#settings.reportSlackMilliseconds;
+    const around = this.#listCounts(
+      sample.sampledAt - slack,
+      sample.sampledAt + slack,
+    );
+    if (sample.sampledAt - slack > this.#orphanedAt) {
+      const others = sample.requests - Math.min(...around);
+      this.#orphans = Math.min(this.#orphans, Math.max(0, others));
+    }
+    const rest = sample.requests - this.#orphans;
+    const least = Math.max(0, rest - Math.max(...around));
+    const most = Math.max(0, rest - Math.min(...around));
+    const kept = this.#leased ? 0 : Math.min(this.countForeign(now), most);
+    this.#foreign = Math.max(least, kept);
+    this.#foreignAt = now;
+    this.#isSure = least === most;
+    this.#forgetBefore(sample.sampledAt - 2 * slack);
+  }
+
+  #recordCount(now: number): void {
+    const last = this.#history.at(-1);
+    if (last !== undefined && now - last.at <= REPLACED_MILLISECONDS) {
+      last.count = this.#attempts.size;
+      return;
+    }
+    this.#history.push({ at: now, count: this.#attempts.size });
+    this.#forgetBefore(now - this.#settings.reportFreshMilliseconds);
+  }
+
+  /** Every count that held at some moment of the span; never empty. */
+  #listCounts(from: number, to: number): number[] {
+    let before = 0;
+    const counts: number[] = [];
+    for (const change of this.#history) {
+      if (change.at < from) {
+        before = change.count;
+      } else if (change.at <= to) {
+        counts.push(change.count);
+      }
+    }
+    return [before, ...counts];
+  }
+
+  #forgetBefore(time: number): void {
+    let keepFrom = 0;
+    while ((this.#history[keepFrom + 1]?.at ?? Infinity) < time) {
+      keepFrom++;
+    }
+    if (keepFrom > 0) {
+      this.#history = this.#history.slice(keepFrom);
+    }
+  }
+}
