--- /dev/null
+++ b/packages/configuration/src/testing/fixtures.ts
@@ -0,0 +1,127 @@
+/** Parts of configurations, for tests. */
+
+import { createHash } from "node:crypto";
+import { applyChange } from "../apply_change.ts";
+import { type Operation, OperationKind } from "../change.ts";
+import {
+  createEmptyConfiguration,
+  type Endpoint,
+  type FleetConfiguration,
+  type Organisation,
+  type Service,
+  ServiceKind,
+  type Zone,
+} from "../model.ts";
+
+/** Hashes a text as bearer keys are hashed. */
+export function hashText(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+/** Creates an organisation with one key. */
+export function createOrganisation(
+  name: string,
+  fields: Partial<Organisation> = {},
+): Organisation {
+  return {
+    name,
+    weight: 1,
+    keyHashes: [hashText(`key of ${name}`)],
+    services: ["captions"],
+    queueLimit: 100,
+    ...fields,
+  };
+}
+
+/** Creates a model service. */
+export function createService(
+  name: string,
+  fields: Partial<Service> = {},
+): Service {
+  return {
+    name,
+    kind: ServiceKind.Model,
+    repeatRules: [],
+    initialCostEstimate: 100,
+    ...fields,
+  };
+}
+
+/** Creates a zone that is in use. */
+export function createZone(name: string, fields: Partial<Zone> = {}): Zone {
+  return { name, region: "region-1", drained: false, ...fields };
+}
+
+/** Creates an endpoint of the captions service. */
+export function createEndpoint(
+  name: string,
+  fields: Partial<Endpoint> = {},
+): Endpoint {
+  return {
+    name,
+    zone: "zone-a",
+    service: "captions",
+    url: `http://${name}.test:8000`,
+    coldLimit: 2,
+    limitCeiling: 64,
+    drained: false,
+    checksFencing: false,
+    ...fields,
+  };
+}
+
+/** The operation that puts an organisation. */
+export function createPutOrganisation(organisation: Organisation): Operation {
+  return { kind: OperationKind.PutOrganisation, organisation };
+}
+
+/** The operation that puts a zone. */
+export function createPutZone(zone: Zone): Operation {
+  return { kind: OperationKind.PutZone, zone };
+}
+
+/** The operation that puts a service. */
+export function createPutService(service: Service): Operation {
+  return { kind: OperationKind.PutService, service };
+}
+
+/** The operation that puts an endpoint. */
+export function createPutEndpoint(endpoint: Endpoint): Operation {
+  return { kind: OperationKind.PutEndpoint, endpoint };
+}
+
+/** The operations of a small fleet: two zones, one service, one team. */
+export function createSmallFleetOperations(): Operation[] {
+  return [
+    createPutZone(createZone("zone-a")),
+    createPutZone(createZone("zone-b")),
+    createPutService(createService("captions")),
+    createPutEndpoint(createEndpoint("captions-a1")),
+    createPutEndpoint(createEndpoint("captions-b1", { zone: "zone-b" })),
+    createPutOrganisation(createOrganisation("bakery")),
+  ];
+}
+
+/** A small fleet at version 1. */
+export function createSmallFleet(): FleetConfiguration {
+  return applyChange(createEmptyConfiguration(), {
+    version: 1,
+    operations: createSmallFleetOperations(),
+  })._unsafeUnwrap();
+}
+
+/** A fleet with many organisations, each with two keys and three services. */
+export function createLargeFleet(organisations: number): FleetConfiguration {
+  const services = ["captions", "summaries", "printing"];
+  const parts = new Map<string, Organisation>();
+  for (let index = 0; index < organisations; index++) {
+    const name = `organisation-${index}`;
+    const keyHashes = [hashText(`${name}/1`), hashText(`${name}/2`)];
+    parts.set(name, createOrganisation(name, { services, keyHashes }));
+  }
+  return {
+    ...createSmallFleet(),
+    organisations: parts,
+    services: new Map(services.map((name) => [name, createService(name)])),
+  };
+}
