--- /dev/null
+++ b/packages/configuration/src/testing/memory_platform.ts
@@ -0,0 +1,126 @@
+/** An in-memory platform with a change log on it, for tests. */
+
+import { Deferred, ManualClock, RandomSource } from "@rattanvane/base";
+import {
+  type RangeQuery,
+  type RowWrite,
+  TableService,
+} from "@rattanvane/platform";
+import {
+  MemoryObjectStore,
+  MemoryTableService,
+  PlatformFaults,
+} from "@rattanvane/platform/testing";
+import type { Operation } from "../change.ts";
+import { ConfigurationLog } from "../configuration_log.ts";
+import { LogWriter } from "../log_writer.ts";
+import {
+  createOrganisation,
+  createPutOrganisation,
+  createSmallFleetOperations,
+} from "./fixtures.ts";
+
+const STEP_MILLISECONDS = 50;
+const LONGEST_WAIT_MILLISECONDS = 600_000;
+
+/** The platform, its switches and a log without changes. */
+export interface MemoryPlatform {
+  clock: ManualClock;
+  faults: PlatformFaults;
+  table: MemoryTableService;
+  objects: MemoryObjectStore;
+  log: ConfigurationLog;
+  /**
+   * Creates a writer whose changes have ids that start with its name; it
+   * writes to the given table instead of the platform's own.
+   */
+  createWriter(name: string, table?: TableService): LogWriter;
+}
+
+/** Creates an empty platform. */
+export function createMemoryPlatform(): MemoryPlatform {
+  const clock = new ManualClock();
+  const faults = new PlatformFaults(clock);
+  const table = new MemoryTableService(faults);
+  const objects = new MemoryObjectStore(faults);
+  const log = new ConfigurationLog(table, objects);
+  const createWriter = (name: string, writtenTable: TableService = table) => {
+    let count = 0;
+    const createId = () => `${name}-${++count}`;
+    const random = new RandomSource(1);
+    return new LogWriter({ log, table: writtenTable, clock, random, createId });
+  };
+  return { clock, faults, table, objects, log, createWriter };
+}
+
+/** A table whose writes wait until a test lets them go. */
+export class PausedTable extends TableService {
+  /** Resolved when the first write has arrived. */
+  readonly arrived = new Deferred<void>();
+  /** Lets all writes go. */
+  readonly released = new Deferred<void>();
+  readonly #table: TableService;
+
+  constructor(table: TableService) {
+    super();
+    this.#table = table;
+  }
+
+  override read(key: string, signal: AbortSignal) {
+    return this.#table.read(key, signal);
+  }
+
+  override readRange(query: RangeQuery, signal: AbortSignal) {
+    return this.#table.readRange(query, signal);
+  }
+
+  override async write(writes: readonly RowWrite[], signal: AbortSignal) {
+    this.arrived.resolve();
+    await this.released.promise;
+    return await this.#table.write(writes, signal);
+  }
+}
+
+/** Advances the clock until a promise settles. */
+export async function settlePromise<Value>(
+  promise: Promise<Value>,
+  clock: ManualClock,
+): Promise<Value> {
+  let settled = false;
+  const mark = () => {
+    settled = true;
+  };
+  promise.then(mark, mark);
+  const end = clock.now() + LONGEST_WAIT_MILLISECONDS;
+  await clock.advance(0);
+  while (!settled && clock.now() < end) {
+    await clock.advance(STEP_MILLISECONDS);
+  }
+  if (!settled) {
+    throw new Error("the promise did not settle within the longest wait");
+  }
+  return await promise;
+}
+
+/** Operations that change one organisation, so that changes can be told. */
+export function createWeightOperations(weight: number): Operation[] {
+  return [createPutOrganisation(createOrganisation("bakery", { weight }))];
+}
+
+/** Appends the small fleet and then changes up to a version. */
+export async function writeUpTo(
+  platform: MemoryPlatform,
+  version: number,
+): Promise<void> {
+  const { signal } = new AbortController();
+  const writer = platform.createWriter("fill");
+  const { version: start } = (await platform.log.readHead(signal))
+    ._unsafeUnwrap();
+  for (let next = start + 1; next <= version; next++) {
+    const operations = next === 1
+      ? createSmallFleetOperations()
+      : createWeightOperations(next);
+    const append = writer.append({ author: "fill", operations }, signal);
+    (await settlePromise(append, platform.clock))._unsafeUnwrap();
+  }
+}
