Reach the platform and the endpoints over HTTP

Cause: the contracts of the table, the object store, the VM list and the endpoints had no implementation. Ruled out: telling an unsent call by error codes (a reset comes before and after sending); undici's own timers (tests could not drive them); retrying a PUT of unknown outcome (a late copy could overwrite a newer object).

--- /dev/null
+++ b/packages/platform/src/http/stream_events.ts
@@ -0,0 +1,108 @@
+/** Server-sent events of a streamed answer. */
+
+import {
+  createParser,
+  type EventSourceMessage,
+  type EventSourceParser,
+} from "eventsource-parser";
+import { EndpointError, EndpointErrorKind } from "../endpoint_error.ts";
+
+const END_OF_STREAM = "[DONE]";
+const OFFSET_PATTERN = /^\d{1,15}$/;
+const DEFAULT_EVENT_LIMIT_CHARACTERS = 1024 * 1024;
+
+/** One event of a streamed answer. */
+export interface StreamEvent {
+  /** Tokens up to and including this event. */
+  offset: number;
+  data: string;
+}
+
+/** Limits of a stream reader. */
+export interface StreamEventsOptions {
+  /** The longest event, in characters. */
+  eventLimitCharacters?: number;
+}
+
+/** The events of one body; iterate once, then ask whether it was whole. */
+export class StreamEvents implements AsyncIterable<StreamEvent> {
+  readonly #body: AsyncIterable<Uint8Array>;
+  readonly #parser: EventSourceParser;
+  #arrived: StreamEvent[] = [];
+  #error: EndpointError | undefined;
+  #offset = 0;
+  #complete = false;
+
+  constructor(
+    body: AsyncIterable<Uint8Array>,
+    options: StreamEventsOptions = {},
+  ) {
+    this.#body = body;
+    this.#parser = createParser({
+      maxBufferSize: options.eventLimitCharacters ??
+        DEFAULT_EVENT_LIMIT_CHARACTERS,
+      onEvent: (event) => this.#addEvent(event),
+      onError: (error) => {
+        if (error.type === "max-buffer-size-exceeded") {
+          this.#fail("An event of the stream is over the size limit");
+        }
+      },
+    });
+  }
+
+  /** Whether the end mark was seen; without it the stream is cut short. */
+  get complete(): boolean {
+    return this.#complete;
+  }
+
+  /** The offset of the last event. */
+  get lastOffset(): number {
+    return this.#offset;
+  }
+
+  /** Throws an EndpointError when the body breaks or cannot be read. */
+  async *[Symbol.asyncIterator](): AsyncIterator<StreamEvent> {
+    const decoder = new TextDecoder();
+    for await (const chunk of this.#body) {
+      this.#parser.feed(decoder.decode(chunk, { stream: true }));
+      const arrived = this.#arrived;
+      this.#arrived = [];
+      yield* arrived;
+      if (this.#error !== undefined) {
+        throw this.#error;
+      }
+    }
+  }
+
+  #addEvent(event: EventSourceMessage): void {
+    if (this.#error !== undefined) {
+      return;
+    }
+    if (this.#complete) {
+      this.#fail("The stream goes on after its end mark");
+      return;
+    }
+    if (event.data === END_OF_STREAM) {
+      this.#complete = true;
+      return;
+    }
+    if (event.id !== undefined && !OFFSET_PATTERN.test(event.id)) {
+      this.#fail(`The event id "${event.id}" is not an offset`);
+      return;
+    }
+    this.#offset = event.id === undefined ? this.#offset : Number(event.id);
+    this.#arrived.push({ offset: this.#offset, data: event.data });
+  }
+
+  #fail(problem: string): void {
+    this.#error ??= new EndpointError(EndpointErrorKind.BadResponse, problem);
+  }
+}
+
+/** Reads the events of a streamed body. */
+export function readStreamEvents(
+  body: AsyncIterable<Uint8Array>,
+  options: StreamEventsOptions = {},
+): StreamEvents {
+  return new StreamEvents(body, options);
+}
