Spread the configuration between watchers and peers

Cause: a change has to be in force on every VM within 4 s, while only two VMs a zone read the table and a restarted VM may find the platform down. AnnounceVersion is a new message; RequestChanges and Changes carry a number that matches them. ManualClock drops its abort listeners, which piled up on long-lived signals. Ruled out: pushing the changes themselves to 4 peers (each VM would receive them several times) and a queue of parts at the sender (84 askers at once would fill its memory).

--- a/packages/base/src/common/clock.ts
+++ b/packages/base/src/common/clock.ts
@@ -62,11 +62,14 @@
       return Promise.resolve();
     }
     return new Promise((resolve) => {
-      const sleeper = { wakeAt: this.#now + milliseconds, wake: resolve };
+      const onAbort = () => this.#wake(sleeper);
+      const wake = () => {
+        signal.removeEventListener("abort", onAbort);
+        resolve();
+      };
+      const sleeper = { wakeAt: this.#now + milliseconds, wake };
       this.#sleepers.push(sleeper);
-      signal.addEventListener("abort", () => this.#wake(sleeper), {
-        once: true,
-      });
+      signal.addEventListener("abort", onAbort, { once: true });
     });
   }
 
--- /dev/null
+++ b/packages/configuration/src/configuration_peer.ts
@@ -0,0 +1,234 @@
+/** Spreads the configuration between VMs. */
+
+import {
+  type Clock,
+  Deferred,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
+import {
+  type ChangesMessage,
+  type ConfigurationMessage,
+  MessageKind,
+  type MessageSender,
+  type SnapshotPosition,
+  type VmId,
+} from "@rattanvane/protocol";
+import { ChangeServer } from "./change_server.ts";
+import type { ConfigurationError } from "./configuration_error.ts";
+import type { ConfigurationStore } from "./configuration_store.ts";
+import { decodeCompressedSnapshot } from "./snapshot_archive.ts";
+import { SnapshotParts } from "./snapshot_parts.ts";
+
+/** How many peers a VM tells of a new version at once. */
+const ANNOUNCED_PEERS = 4;
+const ANSWER_TIMEOUT_MILLISECONDS = 1_000;
+/** The pause after a peer did not help, before another is asked. */
+const RETRY_MILLISECONDS = 200;
+
+/** What a peer is made of. */
+export interface ConfigurationPeerOptions {
+  store: ConfigurationStore;
+  sender: MessageSender;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** The other VMs that may be told of a new version. */
+  listPeers: () => VmId[];
+}
+
+interface PendingAnswer {
+  request: number;
+  answer: Deferred<ChangesMessage | undefined>;
+}
+
+/**
+ * Tells some peers of each new version, and pulls what this VM lacks from
+ * one that has it. One task, one pull at a time.
+ */
+export class ConfigurationPeer {
+  readonly #options: ConfigurationPeerOptions;
+  readonly #server: ChangeServer;
+  /** Peers with a higher version than ours, as far as they have told. */
+  readonly #holders = new Map<VmId, number>();
+  #needed = new Deferred<void>();
+  #pending: PendingAnswer | undefined;
+  #requests = 0;
+  #stuckAt: number | undefined;
+
+  constructor(options: ConfigurationPeerOptions) {
+    this.#options = options;
+    this.#server = new ChangeServer(options.store);
+  }
+
+  /** Notes which version a VM has; a higher one is fetched. */
+  learnVersion(vm: VmId, version: number): void {
+    const { store } = this.#options;
+    if (version <= store.current.version) {
+      return;
+    }
+    store.learnVersion(version);
+    this.#holders.set(vm, version);
+    this.#needed.resolve();
+  }
+
+  /** Handles a message of another VM. */
+  handle(from: VmId, message: ConfigurationMessage): void {
+    switch (message.kind) {
+      case MessageKind.AnnounceVersion:
+        this.learnVersion(from, message.version);
+        break;
+      case MessageKind.RequestChanges:
+        this.#server.buildAnswer(message)
+          .then((answer) => this.#options.sender.send(from, answer));
+        break;
+      case MessageKind.Changes:
+        if (message.request === this.#pending?.request) {
+          this.#pending.answer.resolve(message);
+        }
+        break;
+    }
+  }
+
+  /** Announces and pulls until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, store } = this.#options;
+    store.changed.listen(({ version }) => this.#announce(version), signal);
+    signal.addEventListener("abort", () => this.#needed.resolve(), {
+      once: true,
+    });
+    while (!signal.aborted) {
+      const holder = this.#pickHolder();
+      if (holder === undefined) {
+        await this.#needed.promise;
+        this.#needed = new Deferred();
+        continue;
+      }
+      if (!await this.#pull(holder, signal)) {
+        this.#holders.delete(holder);
+        await clock.sleep(RETRY_MILLISECONDS, signal);
+      }
+    }
+  }
+
+  #announce(version: number): void {
+    const { listPeers, random, sender } = this.#options;
+    const told = random.shuffle(listPeers()).slice(0, ANNOUNCED_PEERS);
+    for (const vm of told) {
+      sender.send(vm, { kind: MessageKind.AnnounceVersion, version });
+    }
+  }
+
+  /** One of those with the highest version. */
+  #pickHolder(): VmId | undefined {
+    const { random, store } = this.#options;
+    let highest = store.current.version;
+    let best: VmId[] = [];
+    for (const [vm, version] of this.#holders) {
+      if (version <= store.current.version) {
+        this.#holders.delete(vm);
+      } else if (version > highest) {
+        highest = version;
+        best = [vm];
+      } else if (version === highest) {
+        best.push(vm);
+      }
+    }
+    return random.pick(best);
+  }
+
+  /** Fetches all that a peer has; false when it did not get on. */
+  async #pull(vm: VmId, signal: AbortSignal): Promise<boolean> {
+    const { store } = this.#options;
+    const target = this.#holders.get(vm) ?? 0;
+    while (store.current.version < target && !signal.aborted) {
+      const before = store.current.version;
+      const answer = await this.#ask(vm, { signal });
+      if (answer === undefined) {
+        return false;
+      }
+      await this.#receive(vm, { answer, signal });
+      if (store.current.version <= before) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  async #receive(
+    vm: VmId,
+    step: { answer: ChangesMessage; signal: AbortSignal },
+  ): Promise<void> {
+    const { logger, store } = this.#options;
+    if (step.answer.snapshot !== undefined) {
+      await this.#receiveSnapshot(vm, step);
+      return;
+    }
+    const result = store.receive(step.answer.changes);
+    if (result.isErr()) {
+      this.#reportUnreadable(result.error);
+      return;
+    }
+    const { version } = result.value;
+    logger.info("received changes from a peer", { vm, version });
+  }
+
+  async #receiveSnapshot(
+    vm: VmId,
+    step: { answer: ChangesMessage; signal: AbortSignal },
+  ): Promise<void> {
+    const { logger, store } = this.#options;
+    const parts = new SnapshotParts();
+    let answer: ChangesMessage | undefined = step.answer;
+    for (;;) {
+      if (answer?.snapshot === undefined || !parts.add(answer.snapshot)) {
+        logger.warn("a peer sent no whole snapshot", { vm });
+        return;
+      }
+      if (parts.isComplete) {
+        break;
+      }
+      const { position } = parts;
+      answer = await this.#ask(vm, { snapshot: position, signal: step.signal });
+    }
+    const snapshot = await decodeCompressedSnapshot(parts.build());
+    if (snapshot.isErr()) {
+      this.#reportUnreadable(snapshot.error);
+      return;
+    }
+    if (store.receiveSnapshot(snapshot.value)) {
+      const { version } = snapshot.value;
+      logger.info("received a snapshot from a peer", { vm, version });
+    }
+  }
+
+  /** Logs once for each version that this VM is stuck at. */
+  #reportUnreadable(error: ConfigurationError): void {
+    const { logger, store } = this.#options;
+    const { version } = store.current;
+    if (this.#stuckAt !== version) {
+      this.#stuckAt = version;
+      logger.error(`stays at an old version: ${error.message}`, { version });
+    }
+  }
+
+  /** Sends a request; resolves without an answer after a time. */
+  async #ask(
+    vm: VmId,
+    step: { snapshot?: SnapshotPosition; signal: AbortSignal },
+  ): Promise<ChangesMessage | undefined> {
+    const { clock, sender, store } = this.#options;
+    const request = ++this.#requests;
+    const answer = new Deferred<ChangesMessage | undefined>();
+    this.#pending = { request, answer };
+    sender.send(vm, {
+      kind: MessageKind.RequestChanges,
+      request,
+      afterVersion: store.current.version,
+      ...(step.snapshot === undefined ? {} : { snapshot: step.snapshot }),
+    });
+    clock.sleep(ANSWER_TIMEOUT_MILLISECONDS, step.signal)
+      .then(() => answer.resolve(undefined));
+    return await answer.promise;
+  }
+}
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -13,5 +13,26 @@
   ConfigurationErrorKind,
   type ConfigurationErrorOptions,
 } from "./configuration_error.ts";
+export {
+  ConfigurationLog,
+  type LogContents,
+  type LogHead,
+} from "./configuration_log.ts";
+export { type JoinOptions, waitUntilJoined } from "./configuration_join.ts";
+export {
+  ConfigurationPeer,
+  type ConfigurationPeerOptions,
+} from "./configuration_peer.ts";
+export { ConfigurationStore } from "./configuration_store.ts";
+export {
+  ConfigurationWatcher,
+  type ConfigurationWatcherOptions,
+} from "./configuration_watcher.ts";
+export { describeOperation } from "./describe_operation.ts";
+export {
+  type AppendRequest,
+  LogWriter,
+  type LogWriterOptions,
+} from "./log_writer.ts";
 export * from "./model.ts";
 export { operationSchema } from "./operation_schema.ts";
--- a/packages/configuration/src/testing/memory_platform.ts
+++ b/packages/configuration/src/testing/memory_platform.ts
@@ -107,6 +107,19 @@
   return [createPutOrganisation(createOrganisation("bakery", { weight }))];
 }
 
+/** Appends a change to the bakery's weight; returns its version. */
+export async function writeWeight(
+  platform: MemoryPlatform,
+  weight: number,
+): Promise<number> {
+  const append = platform.createWriter("operator").append(
+    { author: "operator", operations: createWeightOperations(weight) },
+    new AbortController().signal,
+  );
+  const change = await settlePromise(append, platform.clock);
+  return change._unsafeUnwrap().version;
+}
+
 /** Appends the small fleet and then changes up to a version. */
 export async function writeUpTo(
   platform: MemoryPlatform,
--- a/packages/protocol/src/configuration_messages.ts
+++ b/packages/protocol/src/configuration_messages.ts
@@ -2,10 +2,27 @@
 
 import type { MessageKind } from "./message_kind.ts";
 
-/** Asks a peer for the changes after a version. */
+/** Tells a peer which version the sender has come to. */
+export interface AnnounceVersionMessage {
+  kind: MessageKind.AnnounceVersion;
+  version: number;
+}
+
+/** Where the receiver of a snapshot has come to. */
+export interface SnapshotPosition {
+  version: number;
+  /** How many bytes it has already. */
+  offset: number;
+}
+
+/** Asks a peer for the changes after a version; one message is the answer. */
 export interface RequestChangesMessage {
   kind: MessageKind.RequestChanges;
+  /** Matches the answer to this message; unique at the sender. */
+  request: number;
   afterVersion: number;
+  /** Set to go on with a snapshot of which a part has come. */
+  snapshot?: SnapshotPosition;
 }
 
 /** One accepted change as the log holds it. */
@@ -15,11 +32,20 @@
   body: string;
 }
 
-/** Carries changes in order; the last part of a long answer has `more` unset. */
+/** A part of a whole configuration as compressed JSON text. */
+export interface SnapshotPart extends SnapshotPosition {
+  /** The length of all parts together. */
+  totalBytes: number;
+  content: Uint8Array;
+}
+
+/** Carries the next changes in order, as many as fit into one message. */
 export interface ChangesMessage {
   kind: MessageKind.Changes;
-  /** A whole configuration as JSON text, when the log was too long. */
-  snapshot?: EncodedChange;
+  request: number;
+  /** The version that the sender has. */
+  version: number;
+  /** Sent instead of changes when the sender lacks the first of them. */
+  snapshot?: SnapshotPart;
   changes: EncodedChange[];
-  more: boolean;
 }
--- a/packages/protocol/src/message_kind.ts
+++ b/packages/protocol/src/message_kind.ts
@@ -21,6 +21,7 @@
   Offer = "offer",
   MoveEntries = "moveEntries",
   EntryMoved = "entryMoved",
+  AnnounceVersion = "announceVersion",
   RequestChanges = "requestChanges",
   Changes = "changes",
   RunKey = "runKey",
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -35,6 +35,7 @@
 
 /** Messages that spread the configuration. */
 export type ConfigurationMessage =
+  | configuration.AnnounceVersionMessage
   | configuration.RequestChangesMessage
   | configuration.ChangesMessage;
 
