--- a/packages/protocol/src/peer_network_test.ts
+++ b/packages/protocol/src/peer_network_test.ts
@@ -63,7 +63,7 @@
 }
 
 function createMessage(afterVersion: number): RequestChangesMessage {
-  return { kind: MessageKind.RequestChanges, afterVersion };
+  return { kind: MessageKind.RequestChanges, request: 1, afterVersion };
 }
 
 /** Resolves with everything that the other side sent before it closed. */
