Add the ingress: calls, dispatch, attempts and answers

Cause: nothing took callers' requests. Ruled out: sending bodies to the scheduler (they would cross the control path) and relaying a plain answer before it is whole (a broken one could not be retried). Change: HTTP server with handlers, a ledger that owns each request, a dispatcher that speaks to schedulers, runs for completions (resume, continuation) and plain calls.

--- /dev/null
+++ b/packages/router/src/caller/operator_handlers.ts
@@ -0,0 +1,72 @@
+/** Answers for operators: metrics and status. */
+
+import { Buffer } from "node:buffer";
+import type { Registry } from "prom-client";
+import { matchKeyHash, parseBearerKey } from "./authenticator.ts";
+import { CallerError, CallerErrorKind } from "./caller_error.ts";
+import { type CallerExchange, CallerHandler } from "./caller_server.ts";
+
+const OK = 200;
+
+/** Throws a CallerError when a request carries no operator's key. */
+function checkOperatorKey(
+  { request }: CallerExchange,
+  hashes: readonly string[],
+): void {
+  const key = parseBearerKey(request.headers.authorization);
+  if (!matchKeyHash(key, hashes)) {
+    throw new CallerError(
+      CallerErrorKind.WrongKey,
+      "The key is not an operator's",
+    );
+  }
+}
+
+/** Gives the metrics in Prometheus' text format. */
+export class MetricsHandler extends CallerHandler {
+  override readonly methods = ["GET"];
+  readonly #registry: Registry;
+  readonly #operatorKeyHashes: readonly string[];
+
+  constructor(registry: Registry, operatorKeyHashes: readonly string[]) {
+    super();
+    this.#registry = registry;
+    this.#operatorKeyHashes = operatorKeyHashes;
+  }
+
+  override matches(path: string): boolean {
+    return path === "/metrics";
+  }
+
+  override async handle(exchange: CallerExchange): Promise<void> {
+    checkOperatorKey(exchange, this.#operatorKeyHashes);
+    const text = await this.#registry.metrics();
+    exchange.answer.sendBytes(OK, {
+      headers: [{ name: "content-type", value: this.#registry.contentType }],
+      body: Buffer.from(text),
+    });
+  }
+}
+
+/** Gives the fleet as this VM sees it. */
+export class StatusHandler extends CallerHandler {
+  override readonly methods = ["GET"];
+  readonly #describe: () => object;
+  readonly #operatorKeyHashes: readonly string[];
+
+  constructor(describe: () => object, operatorKeyHashes: readonly string[]) {
+    super();
+    this.#describe = describe;
+    this.#operatorKeyHashes = operatorKeyHashes;
+  }
+
+  override matches(path: string): boolean {
+    return path === "/status";
+  }
+
+  override handle(exchange: CallerExchange): Promise<void> {
+    checkOperatorKey(exchange, this.#operatorKeyHashes);
+    exchange.answer.sendJson(OK, this.#describe());
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/router/src/ingress/keys_handler.ts
@@ -0,0 +1,31 @@
+/** Issues keys for calls that must not be repeated. */
+
+import { type CallerExchange, CallerHandler } from "../caller/caller_server.ts";
+import type { IngressContext } from "./ingress_context.ts";
+import type { KeyedCallRunner } from "./keyed_call_runner.ts";
+
+const CREATED = 201;
+
+/** Serves POST /v1/keys. */
+export class KeysHandler extends CallerHandler {
+  override readonly methods = ["POST"];
+  readonly #context: IngressContext;
+  readonly #keyed: KeyedCallRunner;
+
+  constructor(context: IngressContext, keyed: KeyedCallRunner) {
+    super();
+    this.#context = context;
+    this.#keyed = keyed;
+  }
+
+  override matches(path: string): boolean {
+    return path === "/v1/keys";
+  }
+
+  override handle(exchange: CallerExchange): Promise<void> {
+    const { organisation } = this.#context.authenticate(exchange);
+    const key = this.#keyed.issueKey(organisation.name);
+    exchange.answer.sendJson(CREATED, { key });
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/router/src/ingress/refusal.ts
@@ -0,0 +1,68 @@
+/** Refusals and endpoint failures as callers see them. */
+
+import type { EndpointError } from "@rattanvane/platform";
+import { RefusalReason, type RefuseMessage } from "@rattanvane/protocol";
+import {
+  CallerError,
+  CallerErrorKind,
+  CallOutcome,
+} from "../caller/caller_error.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
+
+interface RefusalText {
+  kind: CallerErrorKind;
+  problem: string;
+}
+
+const REFUSALS: Record<RefusalReason, RefusalText> = {
+  [RefusalReason.QueueFull]: {
+    kind: CallerErrorKind.QueueFull,
+    problem: "Too many requests of the organisation are waiting",
+  },
+  [RefusalReason.WaitedTooLong]: {
+    kind: CallerErrorKind.WaitedTooLong,
+    problem: "No endpoint was free before the request's deadline",
+  },
+  [RefusalReason.Quarantined]: {
+    kind: CallerErrorKind.Quarantined,
+    problem: "The request crashed the endpoints that ran it",
+  },
+  [RefusalReason.NoEndpoint]: {
+    kind: CallerErrorKind.NoEndpoint,
+    problem: "No endpoint of the service is in use",
+  },
+  [RefusalReason.NotReachable]: {
+    kind: CallerErrorKind.NoEndpoint,
+    problem: "No endpoint of the service can be reached from here",
+  },
+};
+
+/** Whether any attempt of a request may have run. */
+export function computeOutcome(entry: LedgerEntry): CallOutcome {
+  return entry.attemptsMade === 0 ? CallOutcome.NotRun : CallOutcome.Unknown;
+}
+
+/** Converts a scheduler's refusal for the caller. */
+export function convertRefusal(
+  refusal: RefuseMessage,
+  entry: LedgerEntry,
+): CallerError {
+  const { kind, problem } = REFUSALS[refusal.reason];
+  return new CallerError(kind, problem, {
+    outcome: computeOutcome(entry),
+    retryAfterMilliseconds: refusal.retryAfterMilliseconds,
+  });
+}
+
+/** Converts the failure of the last attempt for the caller. */
+export function convertEndpointError(
+  error: EndpointError,
+  entry: LedgerEntry,
+): CallerError {
+  const outcome = computeOutcome(entry);
+  const kind = outcome === CallOutcome.NotRun
+    ? CallerErrorKind.NoEndpoint
+    : CallerErrorKind.EndpointFailed;
+  const problem = `The endpoint failed: ${error.message}`;
+  return new CallerError(kind, problem, { outcome, cause: error });
+}
