--- a/packages/emulator/src/common/json_fields.ts
+++ b/packages/emulator/src/common/json_fields.ts
@@ -52,6 +52,22 @@
     return value.map((item) => toFields(item));
   }
 
+  /** An object that must be there. */
+  object(name: string): JsonFields {
+    return toFields(this.#fields[name]);
+  }
+
+  /** A list of strings that must be there. */
+  strings(name: string): string[] {
+    const value = this.#fields[name];
+    const isList = Array.isArray(value) &&
+      value.every((item) => typeof item === "string");
+    if (!isList) {
+      throw new HttpProblem(400, `The field "${name}" must be a list of texts`);
+    }
+    return value;
+  }
+
   /** Refuses fields outside the list, so that a misspelt fault shows. */
   checkNames(allowed: readonly string[]): void {
     for (const name of Object.keys(this.#fields)) {
--- a/packages/emulator/src/proxy/proxy_server.ts
+++ b/packages/emulator/src/proxy/proxy_server.ts
@@ -56,6 +56,10 @@
         this.#requireLink(name).apply(parseLinkFaults(fields));
         exchange.sendEmpty(204);
         return;
+      case "POST faults/":
+        this.#applyToMany(fields);
+        exchange.sendEmpty(204);
+        return;
       case "POST links/heal":
         this.#requireLink(name).apply(createLinkFaults());
         exchange.sendEmpty(204);
@@ -71,6 +75,17 @@
     }
   }
 
+  /** Strikes several links at the same moment. */
+  #applyToMany(fields: JsonFields): void {
+    const links = fields.strings("links").map((name) =>
+      this.#requireLink(name)
+    );
+    const faults = parseLinkFaults(fields.object("faults"));
+    for (const link of links) {
+      link.apply(faults);
+    }
+  }
+
   async #addForward(fields: JsonFields): Promise<number> {
     const sources = fields.get("linksBySource") ?? {};
     const linksBySource = new Map<string, Link>();
--- a/packages/emulator/src/proxy/proxy_server_test.ts
+++ b/packages/emulator/src/proxy/proxy_server_test.ts
@@ -151,6 +151,18 @@
     expect(near.received).to.equal("nearstill");
   });
 
+  it("strikes several links at once", async () => {
+    const proxy = await startProxy({ linksBySource: { "127.1.0.1": "other" } });
+    const clients = [
+      new Client(proxy.port),
+      new Client(proxy.port, "127.1.0.1"),
+    ];
+    await Promise.all(clients.map((client) => client.echo("hello")));
+    const body = { links: [LINK, "other"], faults: { cut: true } };
+    await sendJson(`${proxy.url}/faults`, { body });
+    await waitUntil(() => clients.every((client) => client.closed));
+  });
+
   const blackholeCases = [
     { blackhole: "toTarget", bytesFromTarget: 5, bytesToTarget: 10 },
     { blackhole: "fromTarget", bytesFromTarget: 10, bytesToTarget: 10 },
