Add callers and load that compare every answer with the engine's text

Failure tests and measurements need to know whether each caller got the whole answer to its own call. CompletionCaller judges streamed and whole answers byte for byte (whole, short, wrong, broken, refused, unreachable); the tally counts by organisation with latencies from hdr-histogram-js, the service meter adds up tokens by slices of time for the fairness gap, and load runs as a closed or an open loop from a seed. PlainCaller sends calls of plain services with the caller's own or an issued key.

Ruled out: the platform package's StreamEvents for reading, because it takes only offsets as event ids, and callers get OFFSET.TICKET; eventsource-parser is not among this package's libraries, so a few lines split the events. The open loop sends its first call at once: RandomSource's first draw is near 1 for every small seed (mean over 2,000 seeds: 1.00; later draws 0.43 to 0.56), so a first gap drawn from it would be ten times the mean and more. The source itself is left alone here, since other tests rest on its sequences.

Seen to fail a test when broken: a short answer taken as whole, a missing end mark passed over, one client in place of several, half the rate.

--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -23,3 +23,22 @@
 export { FleetPlatform } from "./fleet/fleet_platform.ts";
 export { ManagedProcess } from "./fleet/managed_process.ts";
 export type { LogLine, LogQuery } from "./fleet/process_log.ts";
+export * from "./load/call_record.ts";
+export * from "./load/completion_caller.ts";
+export {
+  type LoadOptions,
+  runClosedLoop,
+  runOpenLoop,
+} from "./load/load_loops.ts";
+export { generateCall, type LoadSource } from "./load/load_source.ts";
+export {
+  type LatencySummary,
+  LoadTally,
+  type OrganisationSummary,
+} from "./load/load_tally.ts";
+export {
+  type PlainCall,
+  PlainCaller,
+  type PlainResult,
+} from "./load/plain_caller.ts";
+export { ServiceMeter } from "./load/service_meter.ts";
