--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,5 +1,6 @@
 /** A local fleet of real processes on the loopback. */
 
+import { setMaxListeners } from "node:events";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -102,6 +103,8 @@
   signal: AbortSignal,
 ): Promise<Fleet> {
   const end = new AbortController();
+  // Each process listens for the end of the fleet.
+  setMaxListeners(0, end.signal);
   signal.addEventListener("abort", () => end.abort(), { once: true });
   const folder = await mkdtemp(join(tmpdir(), FOLDER_PREFIX));
   end.signal.addEventListener(
