--- a/packages/bench/src/load/completion_caller.ts
+++ b/packages/bench/src/load/completion_caller.ts
@@ -1,5 +1,6 @@
 /** Calls models through the routers and compares what comes back. */
 
+import { setMaxListeners } from "node:events";
 import { type Clock, describeError } from "@rattanvane/base";
 import { formatChatPrompt, generateAnswer } from "@rattanvane/emulator";
 import { HeaderName } from "@rattanvane/platform";
@@ -50,6 +51,8 @@
   /** Sends a call and reads the answer to its end; never throws. */
   async send(call: CompletionCall, signal: AbortSignal): Promise<CallRecord> {
     const record = this.#createRecord(call);
+    // Any number of calls may be under way with one owner.
+    setMaxListeners(0, signal);
     try {
       const response = await request(`${call.url}${findPath(call)}`, {
         method: "POST",
