--- a/packages/configuration/src/testing/fixtures.ts
+++ b/packages/configuration/src/testing/fixtures.ts
@@ -1,8 +1,10 @@
 /** Parts of configurations, for tests. */
 
 import { createHash } from "node:crypto";
+import type { EncodedChange } from "@rattanvane/protocol";
 import { applyChange } from "../apply_change.ts";
 import { type Operation, OperationKind } from "../change.ts";
+import { encodeChange } from "../change_codec.ts";
 import {
   createEmptyConfiguration,
   type Endpoint,
@@ -125,3 +127,21 @@
     services: new Map(services.map((name) => [name, createService(name)])),
   };
 }
+
+/** The change at a version that gives an organisation that weight. */
+export function createEncodedWeight(
+  organisation: string,
+  version: number,
+): EncodedChange {
+  return encodeChange({
+    version,
+    id: `change-${version}`,
+    author: "test",
+    acceptedAt: version,
+    operations: [
+      createPutOrganisation(
+        createOrganisation(organisation, { weight: version }),
+      ),
+    ],
+  });
+}
