Generate changes from a team's questionnaire

Cause: operators get the configuration from forms that teams fill in, and what was changed by hand since must neither be lost nor hidden. Change: the form with comments, its schema, and generateOperations, which compares the answers that were last applied, the answers now and the configuration field by field. Fields that changed by hand stay and are returned as differences; drains are the operators' alone; zones are never removed by a form. The last applied answers are a row that is written in the change's own transaction. changeFileSchema is the file between generate and apply. Ruled out: comparing with the log's last generated change, which is trimmed, and marking parts as generated, which would go to every router.

--- /dev/null
+++ b/packages/configuration/src/change_file.ts
@@ -0,0 +1,20 @@
+/** A change that was generated or written by hand and is not accepted yet. */
+
+import { z } from "zod";
+import { operationSchema } from "./operation_schema.ts";
+import { questionnaireSchema } from "./questionnaire/questionnaire.ts";
+
+const VERSION_ACCEPTED = "a version of the configuration, 0 for the empty one";
+const LIST_ACCEPTED = "a list";
+
+/** The file that `rattanvane configuration apply` takes. */
+export const changeFileSchema = z.strictObject({
+  /** The change is refused when the configuration has moved on from here. */
+  madeForVersion: z.int(VERSION_ACCEPTED).min(0, VERSION_ACCEPTED),
+  operations: z.array(operationSchema, LIST_ACCEPTED),
+  /** The answers that the operations were generated from. */
+  questionnaires: z.array(questionnaireSchema, LIST_ACCEPTED).default([]),
+});
+
+/** A change that is not accepted yet. */
+export type ChangeFile = z.output<typeof changeFileSchema>;
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -36,3 +36,23 @@
 } from "./log_writer.ts";
 export * from "./model.ts";
 export { operationSchema } from "./operation_schema.ts";
+export {
+  describeDifference,
+  type Difference,
+  DifferenceReason,
+} from "./questionnaire/difference.ts";
+export {
+  type AnsweredQuestionnaire,
+  type GeneratedOperations,
+  generateOperations,
+} from "./questionnaire/generate_operations.ts";
+export {
+  type Questionnaire,
+  questionnaireSchema,
+} from "./questionnaire/questionnaire.ts";
+export {
+  buildQuestionnaireRow,
+  readQuestionnaire,
+} from "./questionnaire/questionnaire_archive.ts";
+export { renderQuestionnaire } from "./questionnaire/questionnaire_form.ts";
+export { type ChangeFile, changeFileSchema } from "./change_file.ts";
--- /dev/null
+++ b/packages/configuration/src/questionnaire/part_fields.ts
@@ -0,0 +1,68 @@
+/** Looks at the parts of a configuration field by field. */
+
+import { type Operation, OperationKind } from "../change.ts";
+import type { FleetConfiguration } from "../model.ts";
+import { operationSchema } from "../operation_schema.ts";
+
+/** The fields of an organisation, service, zone or endpoint. */
+export type PartFields = Readonly<Record<string, unknown>>;
+
+/** The fields that an operation puts; undefined for one that removes. */
+export function readFields(operation: Operation): PartFields | undefined {
+  switch (operation.kind) {
+    case OperationKind.PutOrganisation:
+      return { ...operation.organisation };
+    case OperationKind.PutService:
+      return { ...operation.service };
+    case OperationKind.PutZone:
+      return { ...operation.zone };
+    case OperationKind.PutEndpoint:
+      return { ...operation.endpoint };
+    default:
+      return undefined;
+  }
+}
+
+/** The fields that the part of an operation has in a configuration. */
+export function findFields(
+  operation: Operation,
+  configuration: FleetConfiguration,
+): PartFields | undefined {
+  const part = findPart(operation, configuration);
+  return part === undefined ? undefined : { ...part };
+}
+
+/** The same operation with other fields. */
+export function createPut(operation: Operation, fields: PartFields): Operation {
+  return operationSchema.parse({
+    kind: operation.kind,
+    [PART_KEYS[operation.kind] ?? ""]: fields,
+  });
+}
+
+/** Whether two values of a field are the same. */
+export function isSameValue(first: unknown, second: unknown): boolean {
+  return JSON.stringify(first) === JSON.stringify(second);
+}
+
+const PART_KEYS: Partial<Record<OperationKind, string>> = {
+  [OperationKind.PutOrganisation]: "organisation",
+  [OperationKind.PutService]: "service",
+  [OperationKind.PutZone]: "zone",
+  [OperationKind.PutEndpoint]: "endpoint",
+};
+
+function findPart(operation: Operation, configuration: FleetConfiguration) {
+  switch (operation.kind) {
+    case OperationKind.PutOrganisation:
+      return configuration.organisations.get(operation.organisation.name);
+    case OperationKind.PutService:
+      return configuration.services.get(operation.service.name);
+    case OperationKind.PutZone:
+      return configuration.zones.get(operation.zone.name);
+    case OperationKind.PutEndpoint:
+      return configuration.endpoints.get(operation.endpoint.name);
+    default:
+      return undefined;
+  }
+}
