Keep a stand-in down for the last of several crashes

A crash while the engine or plain stand-in was down already started a second return beside the first: the process came back too early, and the second return then tried for ever to open the port that it held itself. The server now owns the whole absence (drop, wait, return), and a newer drop overrules an older return; both stand-ins use it instead of a copy each.

The new test fails without the change (up 200 ms too early).

--- a/packages/emulator/src/common/restartable_server.ts
+++ b/packages/emulator/src/common/restartable_server.ts
@@ -27,6 +27,8 @@
   readonly #host: string;
   #port: number;
   #server: Server | undefined;
+  /** Counts the drops, so that a newer one overrules an older return. */
+  #drops = 0;
 
   constructor(
     handler: ExchangeHandler,
@@ -48,7 +50,8 @@
 
   /** Opens the port; waits while another process holds it. */
   async listen(): Promise<void> {
-    while (!this.#signal.aborted) {
+    const drops = this.#drops;
+    while (!this.#signal.aborted && drops === this.#drops) {
       const server = createServer((request, response) => {
         // A peer that goes away in the middle is an ordinary event here.
         response.on("error", () => {});
@@ -57,7 +60,7 @@
       server.on("connection", (socket) => this.#track(socket));
       const failure = await this.#open(server);
       if (failure === undefined) {
-        this.#adopt(server);
+        this.#adopt(server, drops);
         return;
       }
       if (failure.code !== PORT_IN_USE) {
@@ -67,8 +70,26 @@
     }
   }
 
+  /**
+   * Drops everything and returns after a time, unless it is dropped again
+   * meanwhile; that drop's own return counts then.
+   */
+  async vanish(
+    milliseconds: number,
+    beforeReturn: () => void,
+  ): Promise<void> {
+    this.drop();
+    const drops = this.#drops;
+    await this.#clock.sleep(milliseconds, this.#signal);
+    if (drops === this.#drops) {
+      beforeReturn();
+      await this.listen();
+    }
+  }
+
   /** Closes the port and resets every connection at once. */
   drop(): void {
+    this.#drops++;
     this.#server?.close();
     this.#server = undefined;
     for (const socket of this.#sockets) {
@@ -76,12 +97,13 @@
     }
   }
 
-  #adopt(server: Server): void {
+  #adopt(server: Server, drops: number): void {
+    if (drops !== this.#drops) {
+      server.close();
+      return;
+    }
     this.#port = (server.address() as AddressInfo).port;
     this.#server = server;
-    if (this.#signal.aborted) {
-      this.drop();
-    }
   }
 
   #open(server: Server): Promise<NodeJS.ErrnoException | undefined> {
--- a/packages/emulator/src/engine/engine_server.ts
+++ b/packages/emulator/src/engine/engine_server.ts
@@ -22,8 +22,6 @@
 
 /** Serves the calls of an engine, and vanishes while it restarts. */
 export class EngineServer {
-  readonly #clock: Clock;
-  readonly #signal: AbortSignal;
   readonly #engine: Engine;
   readonly #completions: CompletionRoutes;
   readonly #server: RestartableServer;
@@ -32,8 +30,6 @@
   #faults = new EngineFaults(new JsonFields({}));
 
   constructor(options: EngineServerOptions, signal: AbortSignal) {
-    this.#clock = options.clock;
-    this.#signal = signal;
     this.#engine = new Engine(options.engine, options);
     this.#completions = new CompletionRoutes(
       this.#engine,
@@ -72,13 +68,10 @@
   }
 
   async #restart(): Promise<void> {
-    this.#server.drop();
-    await this.#clock.sleep(
+    await this.#server.vanish(
       this.#engine.options.restartMilliseconds,
-      this.#signal,
+      () => this.#engine.start(),
     );
-    this.#engine.start();
-    await this.#server.listen();
   }
 
   async #handle(exchange: HttpExchange): Promise<void> {
--- a/packages/emulator/src/engine/engine_server_test.ts
+++ b/packages/emulator/src/engine/engine_server_test.ts
@@ -124,6 +124,26 @@
     });
   });
 
+  it("stays down for the last of two crashes and then returns", async () => {
+    const engine = await startEngineFixture(
+      { restartMilliseconds: 500 },
+      end.signal,
+    );
+    const crash = () =>
+      sendJson(`${engine.adminUrl}/crash`, { method: "POST" });
+    const isUp = () =>
+      fetch(`${engine.url}/load`).then(() => true, () => false);
+    await crash();
+    await engine.clock.advance(300);
+    await crash();
+    await engine.clock.advance(300);
+    expect(await isUp()).to.equal(false);
+    await engine.clock.advance(200);
+    await waitUntil(isUp);
+    await crash();
+    await waitUntil(async () => !await isUp());
+  });
+
   const warmUpCases = [
     { uptime: 0, bears: 2 },
     { uptime: 999, bears: 2 },
--- a/packages/emulator/src/plain/plain_server.ts
+++ b/packages/emulator/src/plain/plain_server.ts
@@ -203,13 +203,9 @@
       running: this.#boot.running,
     });
     this.#boot = this.#createBoot();
-    this.#server.drop();
-    await this.#options.clock.sleep(
-      this.#options.restartMilliseconds,
-      this.#signal,
-    );
-    this.#boot = this.#createBoot();
-    await this.#server.listen();
+    await this.#server.vanish(this.#options.restartMilliseconds, () => {
+      this.#boot = this.#createBoot();
+    });
   }
 
   #createBoot(): Boot {
