--- a/packages/fairness/src/account.ts
+++ b/packages/fairness/src/account.ts
@@ -9,7 +9,8 @@
   /** Tells accounts with equal counters apart, the older first. */
   readonly order: number;
   readonly waiting = new LinkedQueue<Entry>();
-  weight = 1;
+  /** Since when nothing waits, in clock time; before that, it did. */
+  emptySince = -Infinity;
   /** Service received divided by the weight, plus lifts. */
   virtual = 0;
   /** Service given here since the queue was created, in cost units. */
--- a/packages/fairness/src/fair_queue.ts
+++ b/packages/fairness/src/fair_queue.ts
@@ -1,6 +1,11 @@
 /** A queue that serves the organisation with the least service first. */
 
-import type { OrganisationCounter, OrganisationId } from "@rattanvane/protocol";
+import type { Clock } from "@rattanvane/base";
+import type {
+  OrganisationCounter,
+  OrganisationId,
+  VirtualCounter,
+} from "@rattanvane/protocol";
 import { Account, compareAccounts } from "./account.ts";
 import { BinaryHeap } from "./binary_heap.ts";
 import type { QueuePlace } from "./linked_queue.ts";
@@ -36,12 +41,15 @@
   lookAhead: number;
   /** The most that a counter leads the lowest one by after a cut. */
   debtCap: number;
+  /** For how long an organisation without waiting entries is not idle yet. */
+  idleGraceMilliseconds: number;
 }
 
 /** The settings that fit most fleets. */
 export const DEFAULT_FAIR_QUEUE_SETTINGS: FairQueueSettings = {
   lookAhead: 8,
   debtCap: 20_000,
+  idleGraceMilliseconds: 500,
 };
 
 interface Waiting<Entry> {
@@ -49,17 +57,31 @@
   place: QueuePlace<Entry>;
 }
 
+/** An organisation's share relative to the others; above 0. */
+export type FindWeight = (organisation: OrganisationId) => number;
+
+/** What a fair queue is created with. */
+export interface FairQueueOptions {
+  settings: FairQueueSettings;
+  clock: Clock;
+  findWeight: FindWeight;
+}
+
 /** Virtual counters by organisation over queues in order of arrival. */
 export class FairQueue<Entry extends FairEntry> {
   readonly #settings: FairQueueSettings;
+  readonly #clock: Clock;
+  readonly #findWeight: FindWeight;
   readonly #accounts = new Map<OrganisationId, Account<Entry>>();
   readonly #backlogged = new BinaryHeap<Account<Entry>>(compareAccounts);
   readonly #waiting = new Map<string, Waiting<Entry>>();
   readonly #changed = new Set<Account<Entry>>();
   #floor = 0;
 
-  constructor(settings: FairQueueSettings) {
-    this.#settings = settings;
+  constructor(options: FairQueueOptions) {
+    this.#settings = options.settings;
+    this.#clock = options.clock;
+    this.#findWeight = options.findWeight;
   }
 
   /** Entries that wait. */
@@ -77,19 +99,28 @@
     return this.#backlogged.first?.virtual ?? this.#floor;
   }
 
-  /** Sets a share; charges made so far keep the former weight. */
-  updateWeight(organisation: OrganisationId, weight: number): void {
-    this.#findAccount(organisation).weight = weight;
+  /** The backlogged organisation that has received least. */
+  get lowest(): OrganisationId | undefined {
+    return this.#backlogged.first?.organisation;
   }
 
-  /** Adds an entry at the end of its organisation's; ignores a repeat. */
-  add(entry: Entry): void {
+  /**
+   * Adds an entry at the end of its organisation's; ignores a repeat. An
+   * organisation that was idle is lifted, but not past the counter up to which
+   * it was backlogged at another pool. One whose callers send the next request
+   * when the last one was granted is not idle in between.
+   */
+  add(entry: Entry, entitled = Infinity): void {
     if (this.#waiting.has(entry.request)) {
       return;
     }
     const account = this.#findAccount(entry.organisation);
-    if (account.waiting.size === 0) {
-      account.virtual = Math.max(account.virtual, this.virtualTime);
+    const emptyFor = this.#clock.now() - account.emptySince;
+    const wasIdle = account.waiting.size === 0 &&
+      emptyFor > this.#settings.idleGraceMilliseconds;
+    if (wasIdle) {
+      const lift = Math.min(this.virtualTime, entitled);
+      account.virtual = Math.max(account.virtual, lift);
     }
     const place = account.waiting.add(entry);
     this.#waiting.set(entry.request, { account, place });
@@ -114,6 +145,7 @@
     this.#waiting.delete(request);
     waiting.account.waiting.remove(waiting.place);
     if (waiting.account.waiting.size === 0) {
+      waiting.account.emptySince = this.#clock.now();
       this.#raiseFloor(waiting.account);
       this.#backlogged.remove(waiting.account);
     }
@@ -147,7 +179,8 @@
   charge(organisation: OrganisationId, estimate: number): Charge {
     const account = this.#findAccount(organisation);
     this.#raiseFloor(account);
-    const charge = { organisation, weight: account.weight, amount: 0 };
+    const weight = this.#findWeight(organisation);
+    const charge = { organisation, weight, amount: 0 };
     this.updateCharge(charge, estimate);
     return charge;
   }
@@ -174,7 +207,7 @@
     for (const { organisation, service } of differences) {
       const account = this.#findAccount(organisation);
       former.set(account, account.virtual);
-      this.#addVirtual(account, service / account.weight);
+      this.#addVirtual(account, service / this.#findWeight(organisation));
     }
     if (options.capDebt) {
       this.#capDebts(former);
@@ -203,8 +236,8 @@
   }
 
   /** The counters of organisations that are not behind the floor. */
-  listCounters(): { organisation: OrganisationId; virtual: number }[] {
-    const counters = [];
+  listCounters(): VirtualCounter[] {
+    const counters: VirtualCounter[] = [];
     for (const { organisation, virtual, waiting } of this.#accounts.values()) {
       if (waiting.size > 0 || virtual > this.#floor) {
         counters.push({ organisation, virtual });
@@ -215,7 +248,7 @@
 
   /** The totals given here that changed since the last call. */
   collectChangedTotals(): OrganisationCounter[] {
-    const totals = [];
+    const totals: OrganisationCounter[] = [];
     for (const { organisation, service } of this.#changed) {
       totals.push({ organisation, service });
     }
--- a/packages/fairness/src/fair_queue_test.ts
+++ b/packages/fairness/src/fair_queue_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { describe, it } from "mocha";
-import { RandomSource } from "@rattanvane/base";
+import { ManualClock, RandomSource } from "@rattanvane/base";
 import {
   type Charge,
   DEFAULT_FAIR_QUEUE_SETTINGS,
@@ -16,8 +16,15 @@
   cost: number;
 }
 
-function createQueue(): FairQueue<TestEntry> {
-  return new FairQueue<TestEntry>(DEFAULT_FAIR_QUEUE_SETTINGS);
+function createQueue(
+  weights: ReadonlyMap<string, number> = new Map(),
+  clock = new ManualClock(),
+): FairQueue<TestEntry> {
+  return new FairQueue<TestEntry>({
+    settings: DEFAULT_FAIR_QUEUE_SETTINGS,
+    clock,
+    findWeight: (organisation) => weights.get(organisation) ?? 1,
+  });
 }
 
 function addEntries(
@@ -66,15 +73,14 @@
 function measureGap(options: SimulationOptions): number {
   const { tenants, progress } = options;
   const random = new RandomSource(options.seed);
-  const queue = createQueue();
+  const queue = createQueue(
+    new Map(tenants.map(({ organisation, weight }) => [organisation, weight])),
+  );
   const service = [0, 0];
   let running: Running[] = [];
   let next = 0;
   let lowest = 0;
   let highest = 0;
-  tenants.forEach((tenant) =>
-    queue.updateWeight(tenant.organisation, tenant.weight)
-  );
   for (let step = 0; step < options.steps; step++) {
     while (running.length < options.slots) {
       for (const { organisation, backlog, largestCost } of tenants) {
@@ -113,17 +119,15 @@
 }
 
 function computeBound(options: SimulationOptions): number {
-  const [first, second] = options.tenants.map((tenant) => ({
-    weight: tenant.weight,
-    inFlight: options.slots,
-    largestCost: tenant.largestCost,
-    largestEstimate: tenant.estimate,
-  }));
+  const { tenants, slots } = options;
+  const largestCost = Math.max(...tenants.map((one) => one.largestCost));
   return computeGapBound({
-    first: first!,
-    second: second!,
-    remoteRate: 0,
-    exchangeDelaySeconds: 0,
+    slots,
+    largestCost,
+    largestEstimate: Math.max(...tenants.map((one) => one.estimate)),
+    lowestWeight: Math.min(...tenants.map((one) => one.weight)),
+    serviceRate: slots,
+    delaySeconds: options.progress ? 1 : largestCost,
     rebalanceThreshold: 0,
   });
 }
@@ -230,10 +234,10 @@
   });
 
   it("corrects a charge at the weight of its grant", () => {
-    const queue = createQueue();
-    queue.updateWeight("a", 2);
+    const weights = new Map([["a", 2]]);
+    const queue = createQueue(weights);
     const charge = queue.charge("a", 100);
-    queue.updateWeight("a", 10);
+    weights.set("a", 10);
     queue.updateCharge(charge, 40);
     expect(queue.findVirtual("a")).to.equal(20);
     queue.charge("a", 100);
@@ -251,6 +255,33 @@
     expect(queue.findVirtual("a")).to.equal(11 * debtCap);
   });
 
+  it("does not call an organisation idle whose callers only answer", async () => {
+    const clock = new ManualClock();
+    const queue = createQueue(new Map(), clock);
+    const { idleGraceMilliseconds } = DEFAULT_FAIR_QUEUE_SETTINGS;
+    for (const expected of [0, 500]) {
+      addEntries(queue, { organisation: "loop", count: 1 });
+      expect(queue.findVirtual("loop")).to.equal(expected);
+      addEntries(queue, { organisation: "busy", count: 1 });
+      queue.charge("busy", 500);
+      queue.remove("loop0");
+      await clock.advance(idleGraceMilliseconds);
+      addEntries(queue, { organisation: "loop", count: 1 });
+      expect(queue.findVirtual("loop")).to.equal(expected);
+      queue.remove("loop0");
+      await clock.advance(idleGraceMilliseconds + 1);
+    }
+  });
+
+  it("lifts no further than where it was backlogged elsewhere", () => {
+    const queue = createQueue();
+    addEntries(queue, { organisation: "busy", count: 1 });
+    queue.charge("busy", 500);
+    const moved = { request: "m", organisation: "moved", cost: 1 };
+    queue.add(moved, 300);
+    expect(queue.findVirtual("moved")).to.equal(300);
+  });
+
   it("reports each changed total once", () => {
     const queue = createQueue();
     const charge = queue.charge("a", 5);
--- a/packages/fairness/src/mod.ts
+++ b/packages/fairness/src/mod.ts
@@ -13,14 +13,12 @@
   DEFAULT_FAIR_QUEUE_SETTINGS,
   type FairEntry,
   FairQueue,
+  type FairQueueOptions,
   type FairQueueSettings,
+  type FindWeight,
   PickVerdict,
 } from "./fair_queue.ts";
-export {
-  computeGapBound,
-  type GapBoundTerms,
-  type OrganisationTerms,
-} from "./gap_bound.ts";
+export { computeGapBound, type GapBoundTerms } from "./gap_bound.ts";
 export {
   type RemoteReport,
   RemoteTotals,
--- a/packages/limits/src/crash_evidence.ts
+++ b/packages/limits/src/crash_evidence.ts
@@ -13,6 +13,14 @@
   lostAt: number;
 }
 
+/** What a load report tells of an endpoint's boot. */
+export interface BootReport {
+  /** When the figures were taken, in clock time. */
+  sampledAt: number;
+  /** When the endpoint says that it started, in clock time. */
+  startedAt: number;
+}
+
 interface Restart {
   at: number;
   /** Bodies that were counted for this crash already. */
@@ -38,6 +46,9 @@
 
   /** Takes in a lost attempt, before or after its endpoint's restart shows. */
   recordLost(lost: LostAttempt): void {
+    if (lost.fingerprint === "") {
+      return;
+    }
     const restart = this.#restarts.get(lost.endpoint);
     if (restart !== undefined && lost.startedAt <= restart.at) {
       this.#count(lost, restart);
@@ -65,13 +76,18 @@
     }
   }
 
-  /** Takes in that an endpoint still ran as before at a moment. */
-  recordSameBoot(endpoint: EndpointId, at: number): void {
+  /** Takes in a report of an endpoint that is not known to have restarted. */
+  recordReport(endpoint: EndpointId, report: BootReport): void {
     const open = this.#lost.get(endpoint);
     if (open === undefined) {
       return;
     }
-    const undecided = open.filter((lost) => lost.lostAt >= at);
+    if (open.some((lost) => lost.startedAt < report.startedAt)) {
+      // It began after the attempt, whose boot no report had shown.
+      this.recordRestart(endpoint, report.sampledAt);
+      return;
+    }
+    const undecided = open.filter((lost) => lost.lostAt >= report.sampledAt);
     this.#replace(endpoint, undecided);
   }
 
--- a/packages/limits/src/endpoint_limit.ts
+++ b/packages/limits/src/endpoint_limit.ts
@@ -80,6 +80,11 @@
     return this.#work.countForeign(this.#clock.now());
   }
 
+  /** Attempts that are counted, but that the last reports did not show. */
+  get absent(): number {
+    return this.#work.absent;
+  }
+
   /** Whether nothing at all is known to run there. */
   get isIdle(): boolean {
     return this.outstanding + this.foreign === 0;
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -1,6 +1,10 @@
 /** Endpoint limits, cold starts, suspects and quarantine. */
 
-export { CrashEvidence, type LostAttempt } from "./crash_evidence.ts";
+export {
+  type BootReport,
+  CrashEvidence,
+  type LostAttempt,
+} from "./crash_evidence.ts";
 export { EndpointState } from "./endpoint_health.ts";
 export { EndpointLimit } from "./endpoint_limit.ts";
 export {
--- a/packages/limits/src/outstanding_work.ts
+++ b/packages/limits/src/outstanding_work.ts
@@ -6,6 +6,9 @@
 /** A slot that is used again so soon has not been empty. */
 const REPLACED_MILLISECONDS = 10;
 
+/** Reports in a row that must miss an attempt. */
+const REPORTS_UNTIL_ABSENT = 3;
+
 interface CountChange {
   at: number;
   /** The count from this moment on. */
@@ -37,6 +40,7 @@
   #foreign = 0;
   #foreignAt = 0;
   #isSure = false;
+  #absent: number[] = [];
 
   constructor(
     settings: EndpointLimitSettings,
@@ -94,6 +98,12 @@
     return this.#isSure;
   }
 
+  /** Attempts that are counted, but that the last reports did not show. */
+  get absent(): number {
+    const isKnown = this.#absent.length === REPORTS_UNTIL_ABSENT;
+    return isKnown ? Math.min(...this.#absent) : 0;
+  }
+
   /** Drops orphans that no report has confirmed for too long. */
   removeExpiredOrphans(now: number): void {
     const age = now - this.#orphanedAt;
@@ -113,6 +123,8 @@
       const others = sample.requests - Math.min(...around);
       this.#orphans = Math.min(this.#orphans, Math.max(0, others));
     }
+    this.#absent.push(Math.max(0, Math.min(...around) - sample.requests));
+    this.#absent.splice(0, this.#absent.length - REPORTS_UNTIL_ABSENT);
     const rest = sample.requests - this.#orphans;
     const least = Math.max(0, rest - Math.max(...around));
     const most = Math.max(0, rest - Math.min(...around));
--- a/packages/limits/src/suspect_registry.ts
+++ b/packages/limits/src/suspect_registry.ts
@@ -62,13 +62,19 @@
 
   /** Whether a body has to run alone. */
   isSuspect(fingerprint: string): boolean {
-    return this.#suspects.size > 0 && this.#countCrashes(fingerprint) > 0;
+    return this.#countCrashes(fingerprint) > 0;
   }
 
-  /** Whether a body is refused. */
-  isQuarantined(fingerprint: string): boolean {
-    return this.#suspects.size > 0 &&
-      this.#countCrashes(fingerprint) >= this.#settings.crashesUntilQuarantine;
+  /** Whether a body is refused, or would be if undecided crashes counted. */
+  isQuarantined(fingerprint: string, undecided = 0): boolean {
+    const crashes = this.#countCrashes(fingerprint) + undecided;
+    return crashes >= this.#settings.crashesUntilQuarantine;
+  }
+
+  /** How long ago a body's last crash was, in milliseconds. */
+  computeAge(fingerprint: string): number {
+    const suspect = this.#suspects.get(fingerprint);
+    return this.#clock.now() - (suspect?.lastCrashAt ?? -Infinity);
   }
 
   /** How long a body stays refused, in milliseconds. */
--- a/packages/limits/src/suspects_test.ts
+++ b/packages/limits/src/suspects_test.ts
@@ -96,15 +96,25 @@
     const evidence = new CrashEvidence(registry);
     evidence.recordLost(createLost("a1", 100));
     expect(evidence.countUndecided("f")).to.equal(1);
-    evidence.recordSameBoot("e", 90);
+    evidence.recordReport("e", { sampledAt: 90, startedAt: 0 });
     expect(evidence.countUndecided("f")).to.equal(1);
-    evidence.recordSameBoot("e", 200);
+    evidence.recordReport("e", { sampledAt: 200, startedAt: 0 });
     evidence.recordRestart("e", 300);
     expect(evidence.countUndecided("f")).to.equal(0);
     expect(registry.isSuspect("f")).to.equal(false);
   });
 });
 
+describe("CrashEvidence of an endpoint that nobody knew before", () => {
+  it("counts an attempt that is older than the endpoint's boot", () => {
+    const registry = createRegistry();
+    const evidence = new CrashEvidence(registry);
+    evidence.recordLost(createLost("a1", 100));
+    evidence.recordReport("e", { sampledAt: 900, startedAt: 500 });
+    expect(registry.isSuspect("f")).to.equal(true);
+  });
+});
+
 describe("RetryBudget", () => {
   it("keeps retries a share of the requests, with a small floor", async () => {
     const clock = new ManualClock();
--- a/packages/protocol/src/message_kind.ts
+++ b/packages/protocol/src/message_kind.ts
@@ -20,6 +20,7 @@
   CounterDelta = "counterDelta",
   Offer = "offer",
   MoveEntries = "moveEntries",
+  EntriesTaken = "entriesTaken",
   EntryMoved = "entryMoved",
   RequestChanges = "requestChanges",
   Changes = "changes",
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,7 +23,8 @@
   | scheduling.HandoverMessage
   | scheduling.CounterDeltaMessage
   | scheduling.OfferMessage
-  | scheduling.MoveEntriesMessage;
+  | scheduling.MoveEntriesMessage
+  | scheduling.EntriesTakenMessage;
 
 /** Messages to an ingress. */
 export type IngressMessage =
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -174,6 +174,12 @@
   service: number;
 }
 
+/** An organisation's service received divided by its weight, plus lifts. */
+export interface VirtualCounter {
+  organisation: OrganisationId;
+  virtual: number;
+}
+
 /** What a scheduler has learned of an endpoint's limit. */
 export interface EndpointLimitState {
   endpoint: EndpointId;
@@ -186,24 +192,32 @@
   kind: MessageKind.Handover;
   pool: PoolId;
   term: Term;
-  counters: OrganisationCounter[];
+  /** The lowest backlogged counter. */
+  virtualTime: number;
+  counters: VirtualCounter[];
   limits: EndpointLimitState[];
 }
 
-/** Service given since the last message, by organisation. */
+/** Service that a scheduler has given, by organisation. */
 export interface CounterDeltaMessage {
   kind: MessageKind.CounterDelta;
   service: ServiceId;
   /** The pool whose scheduler gave the service. */
   pool: PoolId;
-  /** Counts this scheduler's messages, so that a lost one shows. */
+  /** The sender's term; totals start from 0 with each. */
+  term: Term;
+  /** Counts the sender's messages in its term, from 1. */
   sequence: number;
   /** Totals of organisations that changed, not differences. */
   totals: OrganisationCounter[];
-  /** The lowest virtual time among the sender's backlogged organisations. */
+  /** The lowest counter among the sender's backlogged organisations. */
   virtualTime: number;
+  /** Whose counter that is; not set while nothing waits. */
+  lowest?: OrganisationId;
   /** Requests that wait at the sender. */
   waiting: number;
+  /** What the sender's usable endpoints bear together; 0 when it has none. */
+  slots: number;
 }
 
 /** Offers free slots to a scheduler of the same service in another zone. */
@@ -211,7 +225,10 @@
   kind: MessageKind.Offer;
   /** The pool that has free slots. */
   pool: PoolId;
+  /** Slots that stand idle. */
   freeSlots: number;
+  /** Entries wanted besides, so that the next free slot need not wait. */
+  prefetch: number;
 }
 
 /** Moves waiting entries to the pool that offered free slots. */
@@ -220,6 +237,19 @@
   from: PoolId;
   to: PoolId;
   entries: QueueEntry[];
+  /** The counters of the entries' organisations at the sender. */
+  counters: VirtualCounter[];
+}
+
+/** Tells the sender of moved entries which ones the receiver now holds. */
+export interface EntriesTakenMessage {
+  kind: MessageKind.EntriesTaken;
+  /** The pool from which the entries came. */
+  from: PoolId;
+  to: PoolId;
+  taken: RequestId[];
+  /** Entries that the receiver did not take; they go back into the queue. */
+  returned: RequestId[];
 }
 
 /** Tells an ingress which pool's scheduler now holds its entry. */
--- /dev/null
+++ b/packages/scheduling/src/pool/attempt_ends.ts
@@ -0,0 +1,173 @@
+/** Learns from running and ended attempts, and frees their slots. */
+
+import { EndpointNews } from "@rattanvane/limits";
+import {
+  AttemptOutcome,
+  type EndpointId,
+  type FinishMessage,
+  type ProgressMessage,
+  type VmId,
+} from "@rattanvane/protocol";
+import type { RunningGrant } from "./attempt_table.ts";
+import type { PoolState } from "./pool_state.ts";
+import type { Refuser } from "./refuser.ts";
+
+/** Outcomes after which an endpoint has not worked for the request. */
+const UNSERVED = new Set([
+  AttemptOutcome.NotSent,
+  AttemptOutcome.EndpointRefused,
+]);
+
+/** Applies what ingresses report of attempts. */
+export class AttemptEnds {
+  readonly #state: PoolState;
+  readonly #refuser: Refuser;
+
+  constructor(state: PoolState, refuser: Refuser) {
+    this.#state = state;
+    this.#refuser = refuser;
+  }
+
+  /** Charges what an attempt has cost beyond its estimate. */
+  applyProgress(message: ProgressMessage): void {
+    const grant = this.#state.attempts.find(message.attempt);
+    if (grant === undefined) {
+      return;
+    }
+    grant.lastNewsAt = this.#state.now;
+    const cost = Math.max(grant.charge.amount, message.cost);
+    this.#state.queue.fair.updateCharge(grant.charge, cost);
+    this.#state.endpoints.find(grant.endpoint)?.limit.recordProgress();
+  }
+
+  /** Settles an attempt that has ended. */
+  applyFinish(message: FinishMessage): void {
+    const grant = this.#state.attempts.remove(message.attempt);
+    if (grant === undefined) {
+      return;
+    }
+    this.#refuser.recordFinish();
+    this.#settleCharge(grant, message);
+    this.#recordSuspicion(grant, message);
+    const news = this.#finishAtEndpoint(grant, message);
+    this.applyNews(grant.endpoint, news);
+  }
+
+  /** Gives back the slot of a grant that was not used. */
+  release(grant: RunningGrant): void {
+    this.#state.attempts.remove(grant.attempt);
+    this.#state.queue.fair.updateCharge(grant.charge, 0);
+    this.#finishAtEndpoint(grant, {
+      outcome: AttemptOutcome.Cancelled,
+      firstByteMilliseconds: 0,
+      bootId: "",
+    });
+  }
+
+  /** Lets an attempt that nobody answers for any more be found by reports. */
+  orphan(grant: RunningGrant): void {
+    this.#state.attempts.remove(grant.attempt);
+    const endpoint = this.#state.endpoints.find(grant.endpoint);
+    endpoint?.limit.orphanAttempt(grant.attempt);
+    if (endpoint?.soleAttempt === grant.attempt) {
+      endpoint.soleAttempt = undefined;
+    }
+  }
+
+  /** Orphans attempts that have been silent for too long. */
+  orphanSilent(): void {
+    const { attemptSilenceMilliseconds } = this.#state.options.settings;
+    for (const grant of this.#state.attempts.list()) {
+      const silence = this.#state.now - grant.lastNewsAt;
+      if (silence >= attemptSilenceMilliseconds) {
+        this.orphan(grant);
+      }
+    }
+  }
+
+  /**
+   * Orphans attempts of which neither the ingress nor the endpoint speaks: the
+   * message of their end was lost, as in a cut between zones.
+   */
+  orphanAbsent(endpoint: EndpointId, count: number): void {
+    if (count === 0) {
+      return;
+    }
+    const { absentMilliseconds } = this.#state.options.settings;
+    const silentSince = this.#state.now - absentMilliseconds;
+    const silent = this.#state.attempts.list().filter((grant) =>
+      grant.endpoint === endpoint && grant.lastNewsAt <= silentSince
+    );
+    silent.sort((first, second) => first.lastNewsAt - second.lastNewsAt);
+    for (const grant of silent.slice(0, count)) {
+      this.orphan(grant);
+    }
+  }
+
+  /** Draws conclusions from an endpoint that has started anew. */
+  applyNews(endpoint: EndpointId, news: EndpointNews): void {
+    if (news !== EndpointNews.Restarted) {
+      return;
+    }
+    this.#state.evidence.recordRestart(endpoint, this.#state.now);
+    this.#state.prefixes.remove(endpoint);
+    this.#state.options.logger.warn("endpoint restarted or is down", {
+      service: this.#state.options.pool.service,
+      zone: this.#state.options.pool.zone,
+      endpoint,
+      limit: this.#state.endpoints.find(endpoint)?.limit.limit,
+    });
+  }
+
+  /** Orphans everything that a dead ingress had running. */
+  orphanIngress(ingress: VmId): void {
+    for (const grant of this.#state.attempts.listOfIngress(ingress)) {
+      this.orphan(grant);
+    }
+  }
+
+  #settleCharge(grant: RunningGrant, message: FinishMessage): void {
+    const { estimator, queue, options } = this.#state;
+    const isServed = !UNSERVED.has(message.outcome);
+    const cost = isServed ? message.cost : 0;
+    const isTelling = message.outcome === AttemptOutcome.Completed ||
+      cost > grant.charge.amount;
+    queue.fair.updateCharge(grant.charge, cost);
+    if (isTelling) {
+      estimator.recordCost(grant.charge.organisation, {
+        service: options.pool.service,
+        cost,
+      });
+    }
+  }
+
+  #recordSuspicion(grant: RunningGrant, message: FinishMessage): void {
+    const { suspects } = this.#state.options;
+    if (message.outcome === AttemptOutcome.Completed) {
+      suspects.recordCompletion(grant.fingerprint);
+    }
+    if (message.outcome === AttemptOutcome.EndpointLost) {
+      this.#state.evidence.recordLost({
+        attempt: grant.attempt,
+        endpoint: grant.endpoint,
+        fingerprint: grant.fingerprint,
+        startedAt: grant.grantedAt,
+        lostAt: this.#state.now,
+      });
+    }
+  }
+
+  #finishAtEndpoint(
+    grant: RunningGrant,
+    end: Pick<FinishMessage, "outcome" | "firstByteMilliseconds" | "bootId">,
+  ): EndpointNews {
+    const endpoint = this.#state.endpoints.find(grant.endpoint);
+    if (endpoint === undefined) {
+      return EndpointNews.Nothing;
+    }
+    if (endpoint.soleAttempt === grant.attempt) {
+      endpoint.soleAttempt = undefined;
+    }
+    return endpoint.limit.finishAttempt(grant.attempt, end);
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/pool/cold_start_test.ts
@@ -0,0 +1,113 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { PoolWorld, type PoolWorldOptions } from "./testing/pool_world.ts";
+
+const COLD_ENDPOINT = { slots: 16, coldSlots: 2, warmUpMilliseconds: 1500 };
+
+function createWorld(options: Partial<PoolWorldOptions> = {}): PoolWorld {
+  const zone = { zone: "z1", vms: 3, endpoints: 2, endpoint: COLD_ENDPOINT };
+  return new PoolWorld({ seed: 5, zones: [zone], ...options });
+}
+
+/** Keeps many short and long requests waiting at every VM. */
+function createFlood(world: PoolWorld): () => void {
+  return () => {
+    for (const [vm, ingress] of world.ingresses) {
+      while (ingress.isAlive && ingress.waiting.size < 40) {
+        const cost = world.random.nextInteger(50, 3000);
+        world.addRequest({ vm, organisation: "a", cost });
+      }
+    }
+  };
+}
+
+function countCrashes(world: PoolWorld): number {
+  return world.sumEndpoints(({ crashes }) => crashes);
+}
+
+describe("PoolScheduler and cold endpoints", () => {
+  it("never sends an endpoint more than it bears while it warms up", async () => {
+    const world = createWorld();
+    world.startScheduler("z1-vm0");
+    await world.run(40_000, createFlood(world));
+    expect(countCrashes(world)).to.equal(0);
+    expect(world.findEndpoint("z1-e0").mostRunning).to.equal(16);
+  });
+
+  it("never does so over takeovers with grants on the way", async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const world = createWorld({ seed });
+      world.startScheduler("z1-vm0");
+      const flood = createFlood(world);
+      for (let takeover = 1; takeover < 8; takeover++) {
+        await world.run(world.random.nextInteger(200, 4000), flood);
+        world.stopScheduler(world.schedulers[0]!);
+        world.startScheduler(`z1-vm${takeover % 3}`);
+      }
+      expect(countCrashes(world), `seed ${seed}`).to.equal(0);
+    }
+  });
+
+  it("never does so after a restart without warning", async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const world = createWorld({ seed });
+      world.startScheduler("z1-vm0");
+      const flood = createFlood(world);
+      for (let restart = 1; restart <= 4; restart++) {
+        await world.run(world.random.nextInteger(1000, 12_000), flood);
+        world.findEndpoint("z1-e0").crash();
+        if (restart % 2 === 0) {
+          world.stopScheduler(world.schedulers[0]!);
+          world.startScheduler("z1-vm1");
+        }
+      }
+      await world.run(15_000, flood);
+      expect(countCrashes(world), `seed ${seed}`).to.equal(4);
+      expect(world.findEndpoint("z1-e0").jobs.size).to.be.above(8);
+    }
+  });
+
+  it("never does so with two schedulers that do not know each other", async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const world = createWorld({ seed, leased: false });
+      const [vm0, vm1, vm2] = ["z1-vm0", "z1-vm1", "z1-vm2"];
+      world.startScheduler(vm0!, new Set([vm1!, vm2!]));
+      const flood = createFlood(world);
+      await world.run(world.random.nextInteger(0, 20_000), flood);
+      world.startScheduler(vm1!, new Set([vm0!]));
+      await world.run(30_000, flood);
+      expect(countCrashes(world), `seed ${seed}`).to.equal(0);
+    }
+  });
+
+  it("does not leave endpoints idle for good without a lease", async () => {
+    const world = createWorld({ leased: false });
+    world.startScheduler("z1-vm0");
+    const flood = createFlood(world);
+    await world.run(80_000, flood);
+    const { used, borne } = await world.measureSlotUse(10_000, flood);
+    expect(used / borne).to.be.above(0.9);
+  });
+
+  it("sends a dead endpoint one request at a time until it answers", async () => {
+    const world = createWorld();
+    world.startScheduler("z1-vm0");
+    const flood = createFlood(world);
+    await world.run(10_000, flood);
+    const dead = world.findEndpoint("z1-e1");
+    dead.options.downMilliseconds = 20_000;
+    dead.crash();
+    await world.run(1000, flood);
+    const before = countGrants(world, "z1-e1");
+    await world.run(18_000, flood);
+    expect(countGrants(world, "z1-e1") - before).to.be.within(1, 25);
+    await world.run(12_000, flood);
+    expect(dead.jobs.size).to.be.above(0);
+  });
+});
+
+function countGrants(world: PoolWorld, endpoint: string): number {
+  return world.sumIngresses(({ grants }) =>
+    grants.filter((grant) => grant.endpoint === endpoint).length
+  );
+}
--- /dev/null
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -0,0 +1,215 @@
+import {
+  type Message,
+  MessageKind,
+  PlacementReason,
+  RefusalReason,
+} from "@rattanvane/protocol";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { PoolWorld, type PoolWorldOptions } from "./testing/pool_world.ts";
+
+function createWorld(options: Partial<PoolWorldOptions> = {}): PoolWorld {
+  const world = new PoolWorld({
+    seed: 21,
+    zones: [{ zone: "z1", vms: 3, endpoints: 2 }],
+    ...options,
+  });
+  world.startScheduler("z1-vm0");
+  return world;
+}
+
+const LONG = { vm: "z1-vm1", organisation: "a", cost: 5000 };
+
+function listReasons(world: PoolWorld, vm: string): RefusalReason[] {
+  return world.findIngress(vm).refusals.map(({ reason }) => reason);
+}
+
+function describePool(world: PoolWorld) {
+  return world.schedulers[0]!.scheduler.describeStatus();
+}
+
+describe("PoolScheduler queue", () => {
+  it("refuses what is over an organisation's limit, and only that", async () => {
+    const world = createWorld({ queueLimits: { a: 10 } });
+    await world.run(100);
+    world.addRequests(30, LONG);
+    world.addRequests(15, { ...LONG, organisation: "b" });
+    await world.run(100);
+    const reasons = listReasons(world, "z1-vm1");
+    expect(reasons).to.have.lengthOf(12);
+    expect(new Set(reasons)).to.deep.equal(new Set([RefusalReason.QueueFull]));
+    expect(world.countWaiting("z1-vm1", "b")).to.equal(15);
+  });
+
+  it("refuses what has waited too long, and it never runs", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.addRequests(8, LONG);
+    await world.run(50);
+    world.addRequests(3, { ...LONG, waitLimitMilliseconds: 1000 });
+    await world.run(1200);
+    expect(listReasons(world, "z1-vm1")).to.deep.equal(
+      Array(3).fill(RefusalReason.WaitedTooLong),
+    );
+    await world.run(10_000);
+    expect(world.findIngress("z1-vm1").completed.size).to.equal(8);
+  });
+
+  it("frees the place of a cancelled request", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.addRequests(8, LONG);
+    const request = world.addRequest(LONG);
+    await world.run(50);
+    expect(describePool(world).waiting).to.equal(1);
+    world.findIngress("z1-vm1").cancel(request);
+    await world.run(50);
+    expect(describePool(world).waiting).to.equal(0);
+  });
+
+  it("frees the slot of a grant that is declined", async () => {
+    const world = createWorld();
+    await world.run(100);
+    const request = world.addRequest(LONG);
+    world.findIngress("z1-vm1").waiting.delete(request);
+    await world.run(50);
+    const { running, endpoints } = describePool(world);
+    expect(running).to.equal(0);
+    expect(endpoints.map(({ outstanding }) => outstanding)).to.deep.equal([
+      0,
+      0,
+    ]);
+  });
+
+  it("prefers a cached prefix and yields to an idle slot", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.addRequests(6, { ...LONG, prefix: "p" });
+    await world.run(50);
+    const placed = world.findIngress("z1-vm1").grants.map((grant) => [
+      grant.endpoint,
+      grant.reason,
+    ]);
+    const [first] = placed[0]!;
+    const other = first === "z1-e0" ? "z1-e1" : "z1-e0";
+    expect(placed.slice(1, 4)).to.deep.equal(
+      Array(3).fill([first, PlacementReason.CachedPrefix]),
+    );
+    expect(placed[4]).to.deep.equal([other, PlacementReason.LeastLoaded]);
+  });
+
+  it("avoids the endpoint that failed a request", async () => {
+    const world = createWorld();
+    world.findEndpoint("z1-e0").options.downMilliseconds = 60_000;
+    world.findEndpoint("z1-e0").crash();
+    world.addRequests(6, { ...LONG, cost: 500 });
+    await world.run(4000);
+    expect(world.findIngress("z1-vm1").completed.size).to.equal(6);
+  });
+});
+
+describe("PoolScheduler rebuild", () => {
+  it("loses no waiting request with its scheduler", async () => {
+    const world = createWorld();
+    for (const vm of ["z1-vm0", "z1-vm1", "z1-vm2"]) {
+      world.addRequests(30, { vm, organisation: vm, cost: 400 });
+    }
+    for (let death = 1; death <= 5; death++) {
+      await world.run(700);
+      world.stopScheduler(world.schedulers[0]!);
+      world.startScheduler(`z1-vm${death % 3}`);
+    }
+    await world.run(10_000);
+    expect(world.sumIngresses(({ completed }) => completed.size)).to.equal(90);
+    expect(world.sumIngresses(({ doubledRuns }) => doubledRuns)).to.equal(0);
+    expect(describePool(world).running).to.equal(0);
+  });
+
+  it("waits for the reports of all live ingresses before it grants", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.addRequests(12, LONG);
+    await world.run(100);
+    world.stopScheduler(world.schedulers[0]!);
+    let lost = 0;
+    world.network.loses = (message: Message) =>
+      message.kind === MessageKind.RequestWork && lost++ < 4;
+    world.startScheduler("z1-vm2");
+    expect(describePool(world).rebuilding).to.equal(true);
+    await world.run(1500);
+    const { rebuilding, running, waiting } = describePool(world);
+    expect([rebuilding, running, waiting]).to.deep.equal([false, 8, 4]);
+  });
+
+  it("goes on without an ingress that does not report", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.stopScheduler(world.schedulers[0]!);
+    world.findIngress("z1-vm2").isAlive = false;
+    world.findIngress("z1-vm1").scheduler = "z1-vm0";
+    world.addRequest({ ...LONG, cost: 100 });
+    world.startScheduler("z1-vm0");
+    await world.run(4000);
+    expect(world.findIngress("z1-vm1").completed.size).to.equal(1);
+  });
+
+  it("repeats a grant that was lost, and frees one that is not known", async () => {
+    const world = createWorld();
+    await world.run(100);
+    let lost = 0;
+    world.network.loses = (message: Message) =>
+      message.kind === MessageKind.Grant && lost++ < 3;
+    world.addRequests(3, { ...LONG, cost: 100 });
+    await world.run(2500);
+    expect(describePool(world).running).to.equal(3);
+    const ingress = world.findIngress("z1-vm1");
+    ingress.waiting.delete([...ingress.waiting.keys()][0] as string);
+    ingress.sendWorkReport();
+    ingress.sendWorkReport();
+    await world.run(500);
+    expect(ingress.completed.size).to.equal(2);
+    expect(describePool(world).running).to.equal(0);
+  });
+
+  it("drops a dead ingress's entries and counts what it left running", async () => {
+    const world = createWorld();
+    await world.run(100);
+    world.addRequests(12, LONG);
+    await world.run(100);
+    world.killVm("z1-vm1");
+    const { waiting, running, endpoints } = describePool(world);
+    expect([waiting, running]).to.deep.equal([0, 0]);
+    expect(endpoints.map(({ outstanding }) => outstanding)).to.deep.equal([
+      4,
+      4,
+    ]);
+    await world.run(7000);
+    expect(describePool(world).endpoints[0]?.outstanding).to.equal(0);
+  });
+
+  it("hands counters and limits over", async () => {
+    const zone = {
+      zone: "z1",
+      vms: 2,
+      endpoints: 1,
+      endpoint: { slots: 16, coldSlots: 2 },
+    };
+    const world = createWorld({ zones: [zone] });
+    const add = () => {
+      while (world.countWaiting("z1-vm1", "a") < 20) {
+        world.addRequest({ vm: "z1-vm1", organisation: "a", cost: 400 });
+      }
+    };
+    await world.run(15_000, add);
+    const former = world.schedulers[0]!;
+    const { virtualTime } = former.scheduler.describeStatus();
+    const next = world.startScheduler("z1-vm1");
+    former.scheduler.handOver("z1-vm1");
+    await world.run(600, add);
+    const status = next.scheduler.describeStatus();
+    expect(status.endpoints[0]?.limit).to.equal(16);
+    expect(status.virtualTime).to.be.at.least(virtualTime);
+    const grants = world.findIngress("z1-vm1").grants;
+    expect(grants.at(-1)?.term.holder).to.equal("z1-vm1");
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/pool/suspect_guard_test.ts
@@ -0,0 +1,90 @@
+import { RefusalReason } from "@rattanvane/protocol";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { POISON } from "./testing/fake_endpoint.ts";
+import { PoolWorld } from "./testing/pool_world.ts";
+
+function createWorld(zones: string[], endpoints: number): PoolWorld {
+  const world = new PoolWorld({
+    seed: 3,
+    zones: zones.map((zone) => ({ zone, vms: 2, endpoints })),
+  });
+  for (const zone of zones) {
+    world.startScheduler(`${zone}-vm0`);
+  }
+  return world;
+}
+
+/** A caller that sends its request again at once, by way of any VM. */
+function createStubbornCaller(world: PoolWorld, copies: number): () => void {
+  return () => {
+    let open = 0;
+    for (const { waiting, running } of world.ingresses.values()) {
+      const requests = [
+        ...waiting.values(),
+        ...[...running.values()].map(({ request }) => request),
+      ];
+      open += requests.filter(({ entry }) =>
+        entry.fingerprint === POISON
+      ).length;
+    }
+    for (; open < copies; open++) {
+      const vm = world.random.pick([...world.ingresses.keys()]) as string;
+      const fingerprint = POISON;
+      world.addRequest({ vm, organisation: "bad", cost: 400, fingerprint });
+    }
+  };
+}
+
+function createNeighbours(world: PoolWorld): () => void {
+  return () => {
+    for (const vm of world.ingresses.keys()) {
+      while (world.countWaiting(vm, "good") < 5) {
+        world.addRequest({ vm, organisation: "good", cost: 300 });
+      }
+    }
+  };
+}
+
+describe("PoolScheduler and a request that crashes endpoints", () => {
+  for (const copies of [1, 20]) {
+    it(`loses two endpoints at most, then sent ${copies} at a time`, async () => {
+      const world = createWorld(["z1"], 6);
+      const first = createStubbornCaller(world, 1);
+      const later = createStubbornCaller(world, copies);
+      const neighbours = createNeighbours(world);
+      await world.run(20_000, () => {
+        neighbours();
+        const crashes = world.sumEndpoints((endpoint) => endpoint.crashes);
+        (crashes === 0 ? first : later)();
+      });
+      expect(world.sumEndpoints(({ crashes }) => crashes)).to.be.within(1, 2);
+      const reasons = new Set<RefusalReason>();
+      for (const { refusals } of world.ingresses.values()) {
+        refusals.forEach(({ reason }) => reasons.add(reason));
+      }
+      expect([...reasons]).to.deep.equal([RefusalReason.Quarantined]);
+      const share = (world.service.get("good") ?? 0) / (20_000 * 24);
+      expect(share).to.be.above(0.85);
+    });
+  }
+
+  it("loses two endpoints at most when it is sent in turn to every zone", async () => {
+    const world = createWorld(["z1", "z2", "z3"], 2);
+    const stubborn = createStubbornCaller(world, 1);
+    await world.run(20_000, stubborn);
+    expect(world.sumEndpoints(({ crashes }) => crashes)).to.be.within(1, 2);
+  });
+
+  it("takes no neighbour of a crash for a suspect for good", async () => {
+    const world = createWorld(["z1"], 2);
+    const neighbours = createNeighbours(world);
+    for (let crash = 0; crash < 4; crash++) {
+      await world.run(4000, neighbours);
+      world.findEndpoint("z1-e0").crash();
+    }
+    await world.run(10_000, neighbours);
+    const refusals = world.sumIngresses((ingress) => ingress.refusals.length);
+    expect(refusals).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/pool/testing/pool_world.ts
@@ -0,0 +1,367 @@
+/** A few pools of one service with their VMs, driven step by step. */
+
+import {
+  createSilentLogger,
+  ManualClock,
+  RandomSource,
+} from "@rattanvane/base";
+import type { FleetConfiguration } from "@rattanvane/configuration";
+import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
+import {
+  type IngressMessage,
+  MessageKind,
+  type QueueEntry,
+  type SchedulerMessage,
+  type VmId,
+} from "@rattanvane/protocol";
+import { PoolScheduler } from "../pool_scheduler.ts";
+import {
+  DEFAULT_POOL_SCHEDULER_SETTINGS,
+  type PoolSchedulerSettings,
+} from "../settings.ts";
+import type { FakeEndpoint } from "./fake_endpoint.ts";
+import { FakeIngress } from "./fake_ingress.ts";
+import {
+  buildConfiguration,
+  buildEndpoints,
+  SERVICE,
+  type WorldConfigurationOptions,
+} from "./world_configuration.ts";
+import { WorldNetwork } from "./world_network.ts";
+
+/** The length of a step, and the time that a message takes. */
+const STEP_MILLISECONDS = 5;
+
+const LOAD_PERIOD_MILLISECONDS = 200;
+const PROGRESS_PERIOD_MILLISECONDS = 100;
+const GOSSIP_PERIOD_MILLISECONDS = 200;
+
+const INGRESS_KINDS: ReadonlySet<string> = new Set([
+  MessageKind.Grant,
+  MessageKind.Refuse,
+  MessageKind.RequestWork,
+  MessageKind.NotScheduler,
+  MessageKind.EntryMoved,
+]);
+
+/** What a world is made of. */
+export interface PoolWorldOptions extends WorldConfigurationOptions {
+  seed: number;
+  settings?: Partial<PoolSchedulerSettings>;
+  leased?: boolean;
+}
+
+/** A scheduler that runs in a world. */
+export interface RunningScheduler {
+  zone: string;
+  vm: VmId;
+  scheduler: PoolScheduler;
+  suspects: SuspectRegistry;
+  abort: AbortController;
+  /** VMs of the zone that it takes for dead. */
+  hidden: ReadonlySet<VmId>;
+}
+
+/** One request to be added. */
+export interface RequestOptions {
+  vm: VmId;
+  organisation: string;
+  cost: number;
+  hint?: number;
+  fingerprint?: string;
+  prefix?: string;
+  waitLimitMilliseconds?: number;
+}
+
+/** How the endpoints were used while something waited. */
+export interface SlotUse {
+  used: number;
+  borne: number;
+}
+
+/** Pools, VMs and messages with a small delay; nothing else of a fleet. */
+export class PoolWorld {
+  readonly clock = new ManualClock();
+  readonly random: RandomSource;
+  readonly network: WorldNetwork;
+  readonly endpoints = new Map<string, FakeEndpoint>();
+  readonly ingresses = new Map<VmId, FakeIngress>();
+  readonly schedulers: RunningScheduler[] = [];
+  /** Units given so far, by organisation. */
+  readonly service = new Map<string, number>();
+  configuration: FleetConfiguration;
+  readonly #options: PoolWorldOptions;
+  #nextRequest = 1;
+  #nextTerm = 1;
+
+  constructor(options: PoolWorldOptions) {
+    this.#options = options;
+    this.random = new RandomSource(options.seed);
+    this.network = new WorldNetwork(
+      STEP_MILLISECONDS,
+      () => this.clock.now(),
+    );
+    for (const zone of options.zones) {
+      for (const fake of buildEndpoints(zone)) {
+        this.endpoints.set(fake.options.name, fake);
+      }
+      for (let index = 0; index < zone.vms; index++) {
+        this.#addIngress(zone.zone, `${zone.zone}-vm${index}`);
+      }
+    }
+    this.configuration = buildConfiguration(options, this.endpoints.values());
+  }
+
+  /** Starts a scheduler; a second one in a zone does not end the first. */
+  startScheduler(
+    vm: VmId,
+    hidden: ReadonlySet<VmId> = new Set(),
+  ): RunningScheduler {
+    const zone = vm.split("-")[0] as string;
+    const { seed, settings, leased = true } = this.#options;
+    const suspects = new SuspectRegistry(this.clock, DEFAULT_SUSPECT_SETTINGS);
+    const scheduler = new PoolScheduler({
+      pool: { zone, service: SERVICE },
+      term: { number: this.#nextTerm++, holder: vm },
+      leased,
+      self: vm,
+      sender: this.network.createSender(vm),
+      clock: this.clock,
+      random: new RandomSource(seed + this.#nextTerm),
+      logger: createSilentLogger(),
+      settings: { ...DEFAULT_POOL_SCHEDULER_SETTINGS, ...settings },
+      suspects,
+    });
+    const abort = new AbortController();
+    const running = { zone, vm, scheduler, suspects, abort, hidden };
+    this.schedulers.push(running);
+    scheduler.updateConfiguration(this.configuration);
+    this.updatePeers();
+    scheduler.run(abort.signal);
+    return running;
+  }
+
+  /** Ends a scheduler without a word. */
+  stopScheduler(running: RunningScheduler): void {
+    running.abort.abort();
+    this.schedulers.splice(this.schedulers.indexOf(running), 1);
+    this.updatePeers();
+  }
+
+  /** Tells every scheduler of the live VMs and of its siblings. */
+  updatePeers(): void {
+    for (const { zone, scheduler, hidden } of this.schedulers) {
+      const ingresses: VmId[] = [];
+      for (const [vm, ingress] of this.ingresses) {
+        const isHere = ingress.options.pool.zone === zone;
+        if (isHere && ingress.isAlive && !hidden.has(vm)) {
+          ingresses.push(vm);
+        }
+      }
+      const siblings = this.schedulers
+        .filter((other) => other.zone !== zone)
+        .map((other) => ({
+          pool: { zone: other.zone, service: SERVICE },
+          vm: other.vm,
+        }));
+      scheduler.updatePeers({ ingresses, siblings });
+    }
+  }
+
+  /** Drains a zone or returns it. */
+  updateZone(name: string, drained: boolean): void {
+    const zones = new Map(this.configuration.zones);
+    zones.set(name, { name, region: "r", drained });
+    this.#updateConfiguration({ ...this.configuration, zones });
+  }
+
+  /** Drains an endpoint or returns it. */
+  updateEndpoint(name: string, drained: boolean): void {
+    const endpoints = new Map(this.configuration.endpoints);
+    const endpoint = endpoints.get(name);
+    if (endpoint !== undefined) {
+      endpoints.set(name, { ...endpoint, drained });
+    }
+    this.#updateConfiguration({ ...this.configuration, endpoints });
+  }
+
+  /** Adds a request at a VM; returns its id. */
+  addRequest(options: RequestOptions): string {
+    const request = `r${this.#nextRequest++}`;
+    const entry: QueueEntry = {
+      request,
+      ingress: options.vm,
+      organisation: options.organisation,
+      attemptsMade: 0,
+      hintedCost: options.hint ?? 0,
+      waitLimitMilliseconds: options.waitLimitMilliseconds ?? 600_000,
+      waitedMilliseconds: 0,
+      fingerprint: options.fingerprint ?? request,
+      prefix: options.prefix ?? "",
+      avoid: [],
+    };
+    this.findIngress(options.vm).add({ entry, cost: options.cost });
+    return request;
+  }
+
+  /** Adds many requests alike. */
+  addRequests(count: number, options: RequestOptions): void {
+    for (let added = 0; added < count; added++) {
+      this.addRequest(options);
+    }
+  }
+
+  findIngress(vm: VmId): FakeIngress {
+    return this.ingresses.get(vm) as FakeIngress;
+  }
+
+  findEndpoint(name: string): FakeEndpoint {
+    return this.endpoints.get(name) as FakeEndpoint;
+  }
+
+  /** How many requests of an organisation wait at a VM. */
+  countWaiting(vm: VmId, organisation: string): number {
+    let count = 0;
+    for (const { entry } of this.findIngress(vm).waiting.values()) {
+      count += entry.organisation === organisation ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Adds up a figure of every ingress. */
+  sumIngresses(count: (ingress: FakeIngress) => number): number {
+    let sum = 0;
+    for (const ingress of this.ingresses.values()) {
+      sum += count(ingress);
+    }
+    return sum;
+  }
+
+  /** Adds up a figure of every endpoint. */
+  sumEndpoints(count: (endpoint: FakeEndpoint) => number): number {
+    let sum = 0;
+    for (const endpoint of this.endpoints.values()) {
+      sum += count(endpoint);
+    }
+    return sum;
+  }
+
+  /** Kills a VM with everything on it, and tells the schedulers. */
+  killVm(vm: VmId): void {
+    this.findIngress(vm).isAlive = false;
+    for (const running of this.schedulers.filter((one) => one.vm === vm)) {
+      this.stopScheduler(running);
+    }
+    this.updatePeers();
+  }
+
+  /** Runs for a time; the callback is called before each step. */
+  async run(milliseconds: number, before?: () => void): Promise<void> {
+    const end = this.clock.now() + milliseconds;
+    while (this.clock.now() < end) {
+      before?.();
+      await this.#runStep();
+    }
+  }
+
+  /** Runs for a time and measures slots while anything waits. */
+  async measureSlotUse(
+    milliseconds: number,
+    before?: () => void,
+  ): Promise<SlotUse> {
+    const use = { used: 0, borne: 0 };
+    await this.run(milliseconds, () => {
+      before?.();
+      if (this.sumIngresses(({ waiting }) => waiting.size) > 0) {
+        use.used += this.sumEndpoints(({ jobs }) => jobs.size);
+        use.borne += this.sumEndpoints(({ bears }) => bears);
+      }
+    });
+    return use;
+  }
+
+  async #runStep(): Promise<void> {
+    await this.clock.advance(STEP_MILLISECONDS);
+    const now = this.clock.now();
+    for (const endpoint of this.endpoints.values()) {
+      for (const [name, units] of endpoint.runStep(now, STEP_MILLISECONDS)) {
+        this.service.set(name, (this.service.get(name) ?? 0) + units);
+      }
+    }
+    this.#deliver();
+    if (now % LOAD_PERIOD_MILLISECONDS === 0) {
+      this.#reportLoad();
+    }
+    if (now % PROGRESS_PERIOD_MILLISECONDS === 0) {
+      this.#sendProgress();
+    }
+    if (now % GOSSIP_PERIOD_MILLISECONDS === 0) {
+      this.#spreadSuspects();
+    }
+  }
+
+  #deliver(): void {
+    for (const { from, to, message } of this.network.removeDue()) {
+      if (INGRESS_KINDS.has(message.kind)) {
+        const ingress = this.findIngress(to);
+        if (ingress.isAlive) {
+          ingress.handle(from, message as IngressMessage);
+        }
+        continue;
+      }
+      const host = this.schedulers.find(({ vm }) => vm === to);
+      host?.scheduler.handle(from, message as SchedulerMessage);
+    }
+  }
+
+  #reportLoad(): void {
+    for (const { zone, scheduler } of this.schedulers) {
+      for (const [name, endpoint] of this.endpoints) {
+        if (this.configuration.endpoints.get(name)?.zone !== zone) {
+          continue;
+        }
+        const report = endpoint.readLoad();
+        if (report !== undefined) {
+          scheduler.receiveLoad(name, report);
+        } else if (endpoint.isDown) {
+          scheduler.markEndpointUnreachable(name);
+        }
+      }
+    }
+  }
+
+  #sendProgress(): void {
+    for (const ingress of this.ingresses.values()) {
+      if (ingress.isAlive) {
+        ingress.sendProgress();
+      }
+    }
+  }
+
+  #spreadSuspects(): void {
+    for (const one of this.schedulers) {
+      for (const other of this.schedulers) {
+        if (!this.network.isCut(one.vm, other.vm)) {
+          other.suspects.merge(one.suspects.listSuspects());
+        }
+      }
+    }
+  }
+
+  #updateConfiguration(configuration: FleetConfiguration): void {
+    this.configuration = configuration;
+    for (const { scheduler } of this.schedulers) {
+      scheduler.updateConfiguration(configuration);
+    }
+  }
+
+  #addIngress(zone: string, vm: VmId): void {
+    const ingress = new FakeIngress({
+      vm,
+      pool: { zone, service: SERVICE },
+      send: (to, message) => this.network.send(vm, to, message),
+      findEndpoint: (name) => this.findEndpoint(name),
+    });
+    this.ingresses.set(vm, ingress);
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/pool/work_reports.ts
@@ -0,0 +1,170 @@
+/** Rebuilds and corrects a pool's state from what its ingresses report. */
+
+import {
+  MessageKind,
+  type QueueEntry,
+  type RunningAttempt,
+  type VmId,
+  type WorkReportMessage,
+} from "@rattanvane/protocol";
+import type { AttemptEnds } from "./attempt_ends.ts";
+import type { Granter } from "./granter.ts";
+import type { PoolState } from "./pool_state.ts";
+
+/** Asks the ingresses for their work after a start, and merges it. */
+export class WorkReports {
+  readonly #state: PoolState;
+  readonly #ends: AttemptEnds;
+  readonly #granter: Granter;
+  readonly #missing = new Set<VmId>();
+  readonly #startedAt: number;
+  #askedAt = -Infinity;
+  #isRebuilding = true;
+
+  constructor(
+    state: PoolState,
+    parts: { ends: AttemptEnds; granter: Granter },
+  ) {
+    this.#state = state;
+    this.#ends = parts.ends;
+    this.#granter = parts.granter;
+    this.#startedAt = state.now;
+  }
+
+  /** Whether work may be running that is not known of yet. */
+  get isRebuilding(): boolean {
+    return this.#isRebuilding;
+  }
+
+  /** Waits for the reports of these ingresses, and no others. */
+  updateIngresses(ingresses: readonly VmId[], former: ReadonlySet<VmId>): void {
+    const live = new Set(ingresses);
+    for (const vm of this.#missing) {
+      if (!live.has(vm)) {
+        this.#missing.delete(vm);
+      }
+    }
+    if (!this.#isRebuilding) {
+      return;
+    }
+    for (const vm of ingresses) {
+      if (!former.has(vm)) {
+        this.#missing.add(vm);
+        this.#askedAt = -Infinity;
+      }
+    }
+    this.#stopWhenComplete();
+  }
+
+  /** Asks again where a report is missing; ends the rebuild in time. */
+  runStep(): void {
+    if (!this.#isRebuilding) {
+      return;
+    }
+    const { settings } = this.#state.options;
+    const { now } = this.#state;
+    if (now - this.#startedAt >= settings.rebuildMilliseconds) {
+      this.#stopRebuilding();
+      return;
+    }
+    if (now - this.#askedAt >= settings.requestWorkMilliseconds) {
+      this.#askedAt = now;
+      this.#sendRequests();
+    }
+  }
+
+  /** Merges a report; the same report again changes nothing. */
+  merge(from: VmId, message: WorkReportMessage): void {
+    this.#releaseForgotten(from, message);
+    for (const running of message.running) {
+      this.#adopt(from, running);
+    }
+    for (const entry of message.waiting) {
+      this.#addWaiting(entry);
+    }
+    this.#missing.delete(from);
+    this.#stopWhenComplete();
+  }
+
+  #stopWhenComplete(): void {
+    const hasPeers = this.#state.ingresses.size > 0;
+    if (this.#isRebuilding && hasPeers && this.#missing.size === 0) {
+      this.#stopRebuilding();
+    }
+  }
+
+  #sendRequests(): void {
+    const { pool, term, sender } = this.#state.options;
+    for (const vm of this.#missing) {
+      sender.send(vm, { kind: MessageKind.RequestWork, pool, term });
+    }
+  }
+
+  #stopRebuilding(): void {
+    this.#isRebuilding = false;
+    this.#state.endpoints.stopRebuilding();
+    this.#state.options.logger.info("rebuilt the pool's state", {
+      service: this.#state.options.pool.service,
+      zone: this.#state.options.pool.zone,
+      waiting: this.#state.queue.size,
+      running: this.#state.attempts.size,
+      missingReports: this.#missing.size,
+    });
+  }
+
+  /** Takes over an attempt that a former scheduler granted. */
+  #adopt(ingress: VmId, running: RunningAttempt): void {
+    const state = this.#state;
+    const known = state.attempts.find(running.attempt);
+    if (known !== undefined) {
+      known.lastNewsAt = state.now;
+      return;
+    }
+    state.queue.remove(running.request);
+    const estimate = state.estimate(running.organisation, 0);
+    const cost = Math.max(estimate, running.cost);
+    state.endpoints.find(running.endpoint)?.limit.startAttempt(running.attempt);
+    state.attempts.add({
+      attempt: running.attempt,
+      request: running.request,
+      ingress,
+      endpoint: running.endpoint,
+      fingerprint: running.fingerprint,
+      charge: state.queue.fair.charge(running.organisation, cost),
+      grantedAt: state.now,
+      attemptsMade: 0,
+      message: undefined,
+      lastNewsAt: state.now,
+    });
+  }
+
+  /** Queues a request again, or repeats the grant that was lost. */
+  #addWaiting(entry: QueueEntry): void {
+    const grant = this.#state.attempts.findByRequest(entry.request);
+    if (grant?.message !== undefined) {
+      this.#granter.resend(grant.message, grant.ingress);
+      return;
+    }
+    this.#state.queue.add(entry, { now: this.#state.now });
+  }
+
+  /** Drops what the ingress no longer has; grants may still be on the way. */
+  #releaseForgotten(from: VmId, message: WorkReportMessage): void {
+    const running = new Set(message.running.map((one) => one.attempt));
+    const waiting = new Set(message.waiting.map((entry) => entry.request));
+    const { grantSettleMilliseconds } = this.#state.options.settings;
+    for (const grant of this.#state.attempts.listOfIngress(from)) {
+      const isKnown = running.has(grant.attempt) || waiting.has(grant.request);
+      const age = this.#state.now - grant.grantedAt;
+      if (!isKnown && age >= grantSettleMilliseconds) {
+        this.#ends.release(grant);
+      }
+    }
+    for (const entry of this.#state.queue.listOfIngress(from)) {
+      const isKnown = waiting.has(entry.request);
+      if (!isKnown && entry.movedFrom === undefined) {
+        this.#state.queue.remove(entry.request);
+      }
+    }
+  }
+}
