Add the operators' command line

Cause: operators run routers, generate and apply configurations, drain and return zones and endpoints, and rotate keys, by hand and from scripts. Small changes are worked out anew when another comes first; an applied file is refused then. A new key is printed only after its hash was accepted. The router is loaded in one module that waits for runRouter. Ruled out: keys on the command line, which other users of a machine can see.

--- /dev/null
+++ b/packages/cli/bin/rattanvane.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- a/packages/configuration/src/configuration_log.ts
+++ b/packages/configuration/src/configuration_log.ts
@@ -69,6 +69,25 @@
       : decodeChange(convertRow(row.value));
   }
 
+  /** Reads the newest changes, the oldest of them first; at most 100. */
+  async readNewest(
+    count: number,
+    signal: AbortSignal,
+  ): Promise<Result<Change[], ConfigurationError>> {
+    const head = await this.readHead(signal);
+    if (head.isErr()) {
+      return err(head.error);
+    }
+    const limit = Math.min(count, ROWS_IN_A_READ);
+    const after = Math.max(0, head.value.version - limit);
+    const rows = await this.#table.readRange(
+      { prefix: LOG_PREFIX, afterKey: formatLogKey(after), limit },
+      signal,
+    );
+    return rows.mapErr(convertPlatformError)
+      .andThen((found) => decodeChanges(found.map(convertRow)));
+  }
+
   /** Reads everything that a reader at `version` lacks. */
   async readAfter(
     version: number,
--- a/packages/configuration/src/log_writer.ts
+++ b/packages/configuration/src/log_writer.ts
@@ -81,7 +81,7 @@
     const { head, configuration } = start.value;
     const expected = request.expectedVersion ?? configuration.version;
     if (expected !== configuration.version) {
-      return err([await this.#describeConflict(expected, signal)]);
+      return err([await this.describeConflict(expected, signal)]);
     }
     const change = this.#createChange(request, configuration.version + 1);
     const next = applyChange(configuration, change).andThen((applied) =>
@@ -98,6 +98,16 @@
     return ok(change);
   }
 
+  /** The error of a change for a version that is past; tells what came. */
+  async describeConflict(
+    expected: number,
+    signal: AbortSignal,
+  ): Promise<ConfigurationError> {
+    const contents = await this.#options.log.readAfter(expected, signal);
+    const changes = contents.andThen((found) => decodeChanges(found.changes));
+    return createConflictError(expected, changes.unwrapOr([]));
+  }
+
   /** The head and the configuration at the very same version. */
   async #readStart(
     signal: AbortSignal,
@@ -187,16 +197,7 @@
     if (row.value?.id === change.id) {
       return ok(undefined);
     }
-    return err(await this.#describeConflict(change.version - 1, signal));
-  }
-
-  async #describeConflict(
-    expected: number,
-    signal: AbortSignal,
-  ): Promise<ConfigurationError> {
-    const contents = await this.#options.log.readAfter(expected, signal);
-    const changes = contents.andThen((found) => decodeChanges(found.changes));
-    return createConflictError(expected, changes.unwrapOr([]));
+    return err(await this.describeConflict(change.version - 1, signal));
   }
 
   /** Best effort: the next append makes up for it. */
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -8,6 +8,12 @@
   encodeChange,
   encodeSnapshot,
 } from "./change_codec.ts";
+export {
+  collectDifferences,
+  type FieldChange,
+  type PartChange,
+  PartChangeKind,
+} from "./collect_differences.ts";
 export {
   ConfigurationError,
   ConfigurationErrorKind,
--- a/packages/configuration/src/questionnaire/part_fields.ts
+++ b/packages/configuration/src/part_fields.ts
@@ -1,8 +1,8 @@
 /** Looks at the parts of a configuration field by field. */
 
-import { type Operation, OperationKind } from "../change.ts";
-import type { FleetConfiguration } from "../model.ts";
-import { operationSchema } from "../operation_schema.ts";
+import { type Operation, OperationKind } from "./change.ts";
+import type { FleetConfiguration } from "./model.ts";
+import { operationSchema } from "./operation_schema.ts";
 
 /** The fields of an organisation, service, zone or endpoint. */
 export type PartFields = Readonly<Record<string, unknown>>;
@@ -56,13 +56,19 @@
   switch (operation.kind) {
     case OperationKind.PutOrganisation:
       return configuration.organisations.get(operation.organisation.name);
+    case OperationKind.RemoveOrganisation:
+      return configuration.organisations.get(operation.name);
     case OperationKind.PutService:
       return configuration.services.get(operation.service.name);
+    case OperationKind.RemoveService:
+      return configuration.services.get(operation.name);
     case OperationKind.PutZone:
       return configuration.zones.get(operation.zone.name);
+    case OperationKind.RemoveZone:
+      return configuration.zones.get(operation.name);
     case OperationKind.PutEndpoint:
       return configuration.endpoints.get(operation.endpoint.name);
-    default:
-      return undefined;
+    case OperationKind.RemoveEndpoint:
+      return configuration.endpoints.get(operation.name);
   }
 }
--- a/packages/configuration/src/questionnaire/generate_operations.ts
+++ b/packages/configuration/src/questionnaire/generate_operations.ts
@@ -17,7 +17,7 @@
   isSameValue,
   type PartFields,
   readFields,
-} from "./part_fields.ts";
+} from "../part_fields.ts";
 import type { Questionnaire } from "./questionnaire.ts";
 
 /** Fields that only operators set. */
