Write the operators' pages and hold them against the program

Cause: operators have to find every setting, command and exit code, and what to do after each failure. Change: pages on installing, the first team, settings, the command line, drains and keys. Tests compare the settings page with the schema, and the command-line page with commander's commands, options and exit codes. Ruled out: generating the pages in the build; the page is text that people edit, and the tests name what is out of step.

--- a/packages/cli/src/testing/memory_environment.ts
+++ b/packages/cli/src/testing/memory_environment.ts
@@ -41,7 +41,7 @@
   /** Runs words as they are and advances the clock until they end. */
   async run(...words: string[]): Promise<CommandRun> {
     const run = { output: "", errors: "" };
-    const ended = runCommandLine(words, this.#createEnvironment(run));
+    const ended = runCommandLine(words, this.createEnvironment(run));
     let exitCode: ExitCode | undefined;
     ended.then((code) => {
       exitCode = code;
@@ -53,7 +53,8 @@
     return { ...run, exitCode };
   }
 
-  #createEnvironment(
+  /** Creates the environment of one command, which collects its output. */
+  createEnvironment(
     run: { output: string; errors: string },
   ): CommandEnvironment {
     return {
@@ -79,6 +80,11 @@
   }
 }
 
+/** An environment for looking at the commands without running any. */
+export function createSilentEnvironment(): CommandEnvironment {
+  return new MemoryCommandLine().createEnvironment({ output: "", errors: "" });
+}
+
 class RacingTable extends MemoryTableService {
   readonly #line: MemoryCommandLine;
 
--- a/packages/settings/src/router_settings.ts
+++ b/packages/settings/src/router_settings.ts
@@ -91,7 +91,7 @@
   operatorKeyHashes: buildList(
     z.string(HASH_ACCEPTED).regex(/^[0-9a-f]{64}$/, HASH_ACCEPTED),
   ).default([]).describe(
-    "SHA-256 hashes of the keys that may read a VM's status.",
+    "SHA-256 hashes of the keys that may read a VM's status and metrics.",
   ),
   peers: buildList(peerSchema).default([]).describe(
     "VMs to start from while the platform cannot be reached. This VM may be " +
