Run keyed calls at most once in the fleet

Cause: calls that must not be repeated had nothing to guard them. Change: issued keys from memory; callers' keys guarded by rows that are inserted before anything is sent; a bounded registry that joins and replays; group commit; forwarding to a key's home; clean-up of rows.

--- /dev/null
+++ b/packages/once/src/row_cleaner_test.ts
@@ -0,0 +1,105 @@
+import { createSilentLogger } from "@rattanvane/base";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { LocalRowWriter } from "./local_row_writer.ts";
+import { RowCleaner } from "./row_cleaner.ts";
+import {
+  createDatedKey,
+  describeResult,
+  OnceFleet,
+} from "./testing/once_fleet.ts";
+import { RandomSource } from "@rattanvane/base";
+
+const MINUTE = 60_000;
+const HOUR = 60 * MINUTE;
+const DAY = 24 * HOUR;
+const signal = new AbortController().signal;
+
+function createCleaner(fleet: OnceFleet, isCleaner = () => true) {
+  const { table, objects, clock } = fleet;
+  const writer = new LocalRowWriter({
+    table,
+    clock,
+    random: new RandomSource(1),
+    writer: "cleaner",
+    batchMilliseconds: 10,
+  }, signal);
+  return new RowCleaner({
+    table,
+    objects,
+    writer,
+    clock,
+    logger: createSilentLogger(),
+    isCleaner,
+    pageMilliseconds: 10,
+  });
+}
+
+async function runJob(fleet: OnceFleet, key: string, vm: string) {
+  const result = await fleet.run(vm, { key, job: "j1" });
+  await fleet.wait(fleet.vm(vm).calls.settle());
+  return describeResult(result).slice(0, 7);
+}
+
+function countCallRows(fleet: OnceFleet): number {
+  return fleet.table.listKeys().filter((key) => key.startsWith("once/")).length;
+}
+
+describe("RowCleaner", () => {
+  it("drops results, then rows; a dated key is never run again", async () => {
+    const fleet = new OnceFleet({ rowLimitBytes: 1 });
+    await fleet.clock.advance(DAY);
+    const key = createDatedKey(fleet.clock.wallTime());
+    const cleaner = createCleaner(fleet);
+    expect(await runJob(fleet, key, "v1")).to.equal("j1 done");
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(await runJob(fleet, key, "v2")).to.equal("j1 done");
+    await fleet.clock.advance(HOUR);
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(await runJob(fleet, key, "v2")).to.equal("expired");
+    const objects = await fleet.objects.list("", signal);
+    expect(objects._unsafeUnwrap()).to.deep.equal([]);
+    await fleet.clock.advance(23 * HOUR);
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(countCallRows(fleet)).to.equal(1);
+    await fleet.clock.advance(11 * MINUTE);
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(countCallRows(fleet)).to.equal(0);
+    for (const vm of ["v1", "v2"]) {
+      expect(await runJob(fleet, key, vm)).to.equal("expired");
+    }
+    expect(fleet.endpoint.countRuns("j1")).to.equal(1);
+  });
+
+  it("remembers a key without a date for the stated time", async () => {
+    const fleet = new OnceFleet();
+    const cleaner = createCleaner(fleet);
+    await runJob(fleet, "no-date", "v1");
+    await fleet.clock.advance(7 * DAY - MINUTE);
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(await runJob(fleet, "no-date", "v2")).to.equal("expired");
+    expect(fleet.endpoint.countRuns("j1")).to.equal(1);
+    await fleet.clock.advance(MINUTE);
+    await fleet.wait(cleaner.runOnce(signal));
+    expect(countCallRows(fleet)).to.equal(0);
+  });
+
+  it("removes old markers of writers", async () => {
+    const fleet = new OnceFleet();
+    await runJob(fleet, "k1", "v1");
+    await fleet.clock.advance(2 * DAY);
+    await fleet.wait(createCleaner(fleet).runOnce(signal));
+    const markers = fleet.table.listKeys().filter((key) =>
+      key.startsWith("once-writer/v1")
+    );
+    expect(markers).to.deep.equal([]);
+  });
+
+  it("does nothing on a VM that is not the cleaner", async () => {
+    const fleet = new OnceFleet();
+    await runJob(fleet, "k1", "v1");
+    await fleet.clock.advance(8 * DAY);
+    await fleet.wait(createCleaner(fleet, () => false).runOnce(signal));
+    expect(countCallRows(fleet)).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/once/src/testing/once_fleet.ts
@@ -0,0 +1,275 @@
+/** A few VMs in one process with a shared table, for the tests beside. */
+
+import {
+  createSilentLogger,
+  Deferred,
+  ManualClock,
+  RandomSource,
+} from "@rattanvane/base";
+import {
+  MemoryObjectStore,
+  MemoryTableService,
+  PlatformFaults,
+} from "@rattanvane/platform/testing";
+import {
+  type KeyMessage,
+  type Message,
+  MessageKind,
+  MessageSender,
+  type VmId,
+} from "@rattanvane/protocol";
+import {
+  type Execute,
+  type Execution,
+  ExecutionKind,
+  type KeyedCall,
+  type KeyedCallResult,
+} from "../execution.ts";
+import { KeyForwarder } from "../key_forwarder.ts";
+import { KeyedCalls } from "../keyed_calls.ts";
+import { LocalRowWriter } from "../local_row_writer.ts";
+import type { OnceLimits } from "../once_limits.ts";
+
+const STEP_MILLISECONDS = 5;
+const MOST_STEPS = 40_000;
+
+/** A router of the fleet; killed and restarted by tests. */
+export interface FleetVm {
+  vm: VmId;
+  calls: KeyedCalls;
+  forwarder: KeyForwarder;
+  stop: AbortController;
+}
+
+class FleetSender extends MessageSender {
+  readonly #deliver: (vm: VmId, message: Message) => void;
+
+  constructor(deliver: (vm: VmId, message: Message) => void) {
+    super();
+    this.#deliver = deliver;
+  }
+
+  override send(vm: VmId, message: Message): void {
+    this.#deliver(vm, message);
+  }
+
+  override learnContact(): void {}
+}
+
+/** Counts runs of jobs, as an endpoint would, and scripts their ends. */
+export class FakeEndpoint {
+  readonly runs = new Map<string, number>();
+  /** Calls wait here after they have run, while it is set. */
+  hold: Deferred<void> | undefined;
+  /** How the next calls end; afterwards they are answered. */
+  script: ("stall" | "refuse" | "lose" | "throw")[] = [];
+  answerBytes = 20;
+
+  countRuns(job: string): number {
+    return this.runs.get(job) ?? 0;
+  }
+
+  createExecute(job: string): Execute {
+    return () => this.#run(job);
+  }
+
+  async #run(job: string): Promise<Execution> {
+    const step = this.script.shift();
+    if (step === "stall") {
+      await new Promise(() => {});
+    }
+    if (step === "refuse") {
+      return { kind: ExecutionKind.NotRun, reason: "no endpoint" };
+    }
+    this.runs.set(job, this.countRuns(job) + 1);
+    await this.hold?.promise;
+    if (step === "throw") {
+      throw new Error("scripted");
+    }
+    if (step === "lose") {
+      return { kind: ExecutionKind.Unknown, reason: "connection lost" };
+    }
+    return createAnswer(job, this.answerBytes);
+  }
+}
+
+/** The one true answer to a job. */
+export function createAnswer(job: string, bytes: number): Execution {
+  const text = `${job} done `.padEnd(bytes, "x");
+  const body = new Uint8Array(new TextEncoder().encode(text));
+  return { kind: ExecutionKind.Answered, status: 200, headers: [], body };
+}
+
+/** VMs that share a table, with switches for their faults. */
+export class OnceFleet {
+  readonly clock = new ManualClock();
+  readonly faults = new PlatformFaults(this.clock);
+  readonly table = new MemoryTableService(this.faults);
+  readonly objects = new MemoryObjectStore(this.faults);
+  readonly endpoint = new FakeEndpoint();
+  /** Pairs of VMs, in order of their names, that cannot reach each other. */
+  readonly cuts = new Set<string>();
+  /** VMs that the others know to be dead. */
+  readonly dead = new Set<VmId>();
+  /** The next so many messages between VMs are lost. */
+  lostMessages = 0;
+  /** Results that VMs have sent to each other. */
+  resultsSent = 0;
+  readonly #limits: Partial<OnceLimits>;
+  readonly #vms = new Map<VmId, FleetVm>();
+  #incarnations = 0;
+
+  constructor(limits: Partial<OnceLimits> = {}) {
+    this.#limits = limits;
+  }
+
+  /** A VM by its name; starts it when it does not run. */
+  vm(name: VmId): FleetVm {
+    const running = this.#vms.get(name);
+    if (running !== undefined) {
+      return running;
+    }
+    const started = this.#start(name);
+    this.#vms.set(name, started);
+    return started;
+  }
+
+  /** Ends a VM's process; the next use starts an empty one. */
+  kill(name: VmId): void {
+    this.#vms.get(name)?.stop.abort();
+    this.#vms.delete(name);
+  }
+
+  /** Sends a call to a VM; the job names the run that is counted. */
+  call(
+    name: VmId,
+    options: { key: string; job: string; signal?: AbortSignal },
+  ): Promise<KeyedCallResult> {
+    const { key, job, signal = new AbortController().signal } = options;
+    const execute = this.endpoint.createExecute(job);
+    return this.vm(name).calls.run(createCall(key, job), execute, signal);
+  }
+
+  /** Moves time on until the platform's table holds a row for a key. */
+  async waitForRow(): Promise<void> {
+    while (!this.table.listKeys().some((key) => key.startsWith("once/"))) {
+      await this.clock.advance(1);
+    }
+  }
+
+  /** Moves time on until a promise is settled. */
+  async wait<Value>(promise: Promise<Value>): Promise<Value> {
+    let settled = false;
+    const marked = promise.finally(() => settled = true);
+    for (let step = 0; !settled && step < MOST_STEPS; step++) {
+      await this.clock.advance(STEP_MILLISECONDS);
+    }
+    if (!settled) {
+      throw new Error("The promise is not settled; something waits for ever");
+    }
+    return await marked;
+  }
+
+  /** Sends a call and waits for its result. */
+  async run(
+    name: VmId,
+    options: { key: string; job: string },
+  ): Promise<KeyedCallResult> {
+    return await this.wait(this.call(name, options));
+  }
+
+  #start(name: VmId): FleetVm {
+    const { clock, table, objects } = this;
+    const stop = new AbortController();
+    this.#incarnations++;
+    const incarnation = `i${this.#incarnations}`;
+    const random = new RandomSource(this.#incarnations);
+    const sender = new FleetSender((to, message) =>
+      this.#deliver(name, { to, message, stop: stop.signal })
+    );
+    const forwarder = new KeyForwarder({
+      process: `${name}-${incarnation}`,
+      sender,
+      clock,
+      isLive: (vm) => !this.dead.has(vm),
+      runForwarded: (call, signal) => {
+        const job = new TextDecoder().decode(call.body);
+        return calls.run(call, this.endpoint.createExecute(job), signal);
+      },
+      timeoutMilliseconds: 10_000,
+      resendMilliseconds: 500,
+    }, stop.signal);
+    const writer = new LocalRowWriter({
+      table,
+      clock,
+      random,
+      writer: `${name}-${incarnation}`,
+      batchMilliseconds: 10,
+    }, stop.signal);
+    const calls: KeyedCalls = new KeyedCalls({
+      vm: name,
+      incarnation,
+      secret: new TextEncoder().encode(`secret of ${name} ${incarnation}`),
+      table,
+      objects,
+      writer,
+      forwarder,
+      clock,
+      random,
+      logger: createSilentLogger(),
+      limits: this.#limits,
+    }, stop.signal);
+    return { vm: name, calls, forwarder, stop };
+  }
+
+  #deliver(
+    from: VmId,
+    options: { to: VmId; message: Message; stop: AbortSignal },
+  ): void {
+    const { to, message, stop } = options;
+    this.resultsSent += message.kind === MessageKind.KeyResult ? 1 : 0;
+    const isCut = this.cuts.has([from, to].sort().join("-"));
+    if (isCut || stop.aborted) {
+      return;
+    }
+    if (this.lostMessages > 0) {
+      this.lostMessages--;
+      return;
+    }
+    // Only messages about keys go between the VMs of these tests.
+    setImmediate(() =>
+      this.#vms.get(to)?.forwarder.handle(message as KeyMessage, from)
+    );
+  }
+}
+
+/** A print job of one organisation. */
+export function createCall(key: string, job: string): KeyedCall {
+  return {
+    key,
+    organisation: "bakery",
+    service: "printer",
+    method: "POST",
+    path: "/print",
+    headers: [],
+    body: new TextEncoder().encode(job),
+  };
+}
+
+/** A UUIDv7 made at a wall time; the number tells keys apart. */
+export function createDatedKey(wallTime: number, number = 1): string {
+  const time = Math.floor(wallTime).toString(16).padStart(12, "0");
+  const last = number.toString(16).padStart(12, "0");
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${last}`;
+}
+
+/** What a caller sees, in a few words. */
+export function describeResult(result: KeyedCallResult): string {
+  if (result.isErr()) {
+    return result.error.kind;
+  }
+  const { execution } = result.value;
+  return execution.kind === ExecutionKind.Answered
+    ? new TextDecoder().decode(execution.body).trimEnd()
+    : execution.kind;
+}
