Serve a request from end to end with separate processes

Cause: the parts stood side by side and no daemon joined them. Ruled out: one wiring file that also decides (the parts stay usable as a library). Pools go to the first VM by rendezvous hash for now; leases follow with ownership.

--- a/packages/base/src/common/child_abort.ts
+++ b/packages/base/src/common/child_abort.ts
@@ -1,8 +1,17 @@
 /** Abort signals that end with their parent or on their own. */
 
+import { setMaxListeners } from "node:events";
+
+/** Creates the root of a tree of signals; it may have any number of users. */
+export function createLifetime(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
+
 /** A signal below another one; it leaves nothing behind at its parent. */
 export class ChildAbort {
-  readonly #controller = new AbortController();
+  readonly #controller = createLifetime();
   readonly #parent: AbortSignal;
   readonly #follow = () => this.abort();
 
--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -1,7 +1,7 @@
 /** Clock, randomness, errors, logs and asynchronous helpers. */
 
 export { type BackoffOptions, computeBackoff } from "./common/backoff.ts";
-export { ChildAbort } from "./common/child_abort.ts";
+export { ChildAbort, createLifetime } from "./common/child_abort.ts";
 export { Clock, ManualClock, SystemClock } from "./common/clock.ts";
 export { Deferred } from "./common/deferred.ts";
 export { Emitter } from "./common/emitter.ts";
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -45,7 +45,7 @@
 
 /** Dials a peer when there is something to send, and again when it breaks. */
 export class OutgoingLink {
-  /** Emits true when a connection opened, false when it was lost. */
+  /** Emits true when a connection opened, false when it is lost or refused. */
   readonly changes = new Emitter<boolean>();
   readonly #environment: LinkEnvironment;
   #contact: VmContact;
@@ -89,6 +89,7 @@
       }
       const connection = await this.#dial(signal);
       if (connection === undefined) {
+        this.changes.emit(false);
         await this.#pauseAfterFailure(signal);
         continue;
       }
--- a/packages/router/src/caller/caller_error.ts
+++ b/packages/router/src/caller/caller_error.ts
@@ -31,8 +31,8 @@
   EndpointFailed = "endpoint_failed",
   AnswerTooLong = "answer_too_long",
   StreamGone = "stream_gone",
-  KeyHomeGone = "key_home_gone",
-  PlatformUnavailable = "platform_unavailable",
+  CallNotRun = "call_not_run",
+  CallUnknown = "call_unknown",
   ShuttingDown = "shutting_down",
   NotReady = "not_ready",
   Internal = "internal",
@@ -120,14 +120,15 @@
     status: 410,
     remedy: "send the request again from the start",
   },
-  [CallerErrorKind.KeyHomeGone]: {
+  [CallerErrorKind.CallNotRun]: {
+    status: 503,
+    remedy: "send the call again with the same key; while the platform is " +
+      "down, use one from POST /v1/keys",
+  },
+  [CallerErrorKind.CallUnknown]: {
     status: 502,
     remedy: "find out whether the call took effect before using a new key",
   },
-  [CallerErrorKind.PlatformUnavailable]: {
-    status: 503,
-    remedy: "send the call again later, or use a key from POST /v1/keys",
-  },
   [CallerErrorKind.ShuttingDown]: {
     status: 503,
     remedy: "send the request again; another VM will take it",
--- a/packages/router/src/caller/caller_server.ts
+++ b/packages/router/src/caller/caller_server.ts
@@ -44,6 +44,8 @@
   headersTimeoutMilliseconds: number;
   answers: AnswerLimits;
   handlers: readonly CallerHandler[];
+  /** Called with the kind of each error that a caller is given. */
+  countError: (kind: CallerErrorKind) => void;
   logger: Logger;
 }
 
@@ -156,6 +158,7 @@
   ): void {
     const { answer, request, response } = exchange;
     const error = convertToCallerError(thrown);
+    this.#options.countError(error.kind);
     if (error.kind === CallerErrorKind.Internal) {
       this.#options.logger.error("a request failed in the router", {
         request: answer.request,
--- /dev/null
+++ b/packages/router/src/host/message_switch.ts
@@ -0,0 +1,53 @@
+/** Passes each message of a peer to the part that it is for. */
+
+import type { ConfigurationPeer } from "@rattanvane/configuration";
+import type { Membership } from "@rattanvane/membership";
+import type { KeyForwarder } from "@rattanvane/once";
+import { type Message, MessageKind, type VmId } from "@rattanvane/protocol";
+import type { Dispatcher } from "../ingress/dispatcher.ts";
+import type { SchedulerHost } from "./scheduler_host.ts";
+
+/** The parts that take messages. */
+export interface MessageSwitchOptions {
+  membership: Membership;
+  dispatcher: Dispatcher;
+  host: SchedulerHost;
+  peer: ConfigurationPeer;
+  forwarder: KeyForwarder;
+}
+
+/** Knows which part handles which kind of message. */
+export class MessageSwitch {
+  readonly #options: MessageSwitchOptions;
+
+  constructor(options: MessageSwitchOptions) {
+    this.#options = options;
+  }
+
+  /** Passes a message on. */
+  handle(from: VmId, message: Message): void {
+    const { membership, dispatcher, host, peer, forwarder } = this.#options;
+    switch (message.kind) {
+      case MessageKind.Probe:
+      case MessageKind.ProbeReply:
+      case MessageKind.IndirectProbe:
+      case MessageKind.IndirectProbeReply:
+        return membership.handle(from, message);
+      case MessageKind.Grant:
+      case MessageKind.Refuse:
+      case MessageKind.RequestWork:
+      case MessageKind.NotScheduler:
+      case MessageKind.EntryMoved:
+        return dispatcher.handle(from, message);
+      case MessageKind.RequestChanges:
+      case MessageKind.Changes:
+      case MessageKind.AnnounceVersion:
+        return peer.handle(from, message);
+      case MessageKind.RunKey:
+      case MessageKind.KeyResult:
+        return forwarder.handle(message, from);
+      default:
+        return host.handle(from, message);
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/host/platform_clients.ts
@@ -0,0 +1,43 @@
+/** The clients of the platform's services. */
+
+import type { Clock, RandomSource } from "@rattanvane/base";
+import {
+  HttpObjectStore,
+  HttpTableService,
+  HttpVmList,
+  type ObjectStore,
+  PlatformBudget,
+  PlatformTransport,
+  type TableService,
+  type VmList,
+} from "@rattanvane/platform";
+import type { RouterSettings } from "@rattanvane/settings";
+
+/** All clients of one VM; they share one budget. */
+export interface PlatformClients {
+  table: TableService;
+  objects: ObjectStore;
+  vms: VmList;
+}
+
+/** Creates the clients; their connections close when the signal aborts. */
+export function createPlatformClients(
+  settings: RouterSettings["platform"],
+  options: { clock: Clock; random: RandomSource },
+  signal: AbortSignal,
+): PlatformClients {
+  const { clock, random } = options;
+  const budget = new PlatformBudget(settings, { clock, random });
+  const transport = new PlatformTransport({
+    url: settings.url,
+    clock,
+    random,
+    budget,
+    deadlineMilliseconds: settings.requestTimeoutMilliseconds,
+  }, signal);
+  return {
+    table: new HttpTableService(transport),
+    objects: new HttpObjectStore(transport),
+    vms: new HttpVmList(transport),
+  };
+}
--- a/packages/router/src/ingress/attempt.ts
+++ b/packages/router/src/ingress/attempt.ts
@@ -13,6 +13,8 @@
 import { convertOutcome } from "./attempt_outcome.ts";
 import type { CurrentAttempt, LedgerEntry } from "./ledger_entry.ts";
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** What is sent to the endpoint. */
 export interface AttemptContent {
   method: string;
@@ -119,6 +121,7 @@
       cost: this.#current.cost,
       milliseconds: Math.round(durationMilliseconds),
     });
+    this.#count(outcome, firstByteMilliseconds);
     dispatcher.finish(this.#entry, {
       outcome,
       cost: this.#current.cost,
@@ -146,6 +149,18 @@
     }
   }
 
+  #count(outcome: AttemptOutcome, firstByteMilliseconds: number): void {
+    const { metrics } = this.#environment;
+    const service = this.#entry.call.service.name;
+    const organisation = this.#entry.call.organisation.name;
+    metrics.attempts.inc({ service, outcome });
+    metrics.cost.inc({ organisation, service }, this.#current.cost);
+    if (this.#firstByteAt !== undefined) {
+      const seconds = firstByteMilliseconds / MILLISECONDS_PER_SECOND;
+      metrics.firstByte.observe({ service }, seconds);
+    }
+  }
+
   /** An attempt that was not run counts as not made. */
   #note(response: Result<EndpointResponse, EndpointError>): void {
     if (response.isOk()) {
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -1,3 +1,9 @@
-/** The router daemon: ingress, scheduler host and control port. */
+/** The router as a library; the daemon is a thin layer over it. */
 
-export {};
+export {
+  type CallerErrorDescription,
+  CallerErrorKind,
+  CallOutcome,
+  listCallerErrors,
+} from "./caller/caller_error.ts";
+export { Router, runRouter, type RunRouterOptions } from "./router.ts";
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,186 @@
+/** The life of a router: joins the fleet, serves, and leaves. */
+
+import {
+  type Clock,
+  createLifetime,
+  createLogger,
+  describeError,
+  type Logger,
+  SystemClock,
+} from "@rattanvane/base";
+import { waitUntilJoined } from "@rattanvane/configuration";
+import { MembershipChangeKind } from "@rattanvane/membership";
+import type { RouterSettings } from "@rattanvane/settings";
+import { runHashedRoles } from "./host/hashed_roles.ts";
+import { RouterPhase } from "./host/router_state.ts";
+import { runVmListReader } from "./host/vm_list_reader.ts";
+import { RouterParts } from "./router_parts.ts";
+
+const JOIN_WINDOW_MILLISECONDS = 1_500;
+const DRAIN_STEP_MILLISECONDS = 20;
+
+/** What a router is run with. */
+export interface RunRouterOptions {
+  settings: RouterSettings;
+}
+
+/**
+ * Runs a router until the signal aborts, and then until everything that it has
+ * is finished or the longest time is over. Throws when a port is taken.
+ */
+export async function runRouter(
+  options: RunRouterOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const { settings } = options;
+  const router = new Router(settings, {
+    clock: new SystemClock(),
+    logger: createLogger("router", settings.log.level),
+  });
+  await router.run(signal);
+}
+
+/** One router. */
+export class Router {
+  readonly #settings: RouterSettings;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #lifetime = createLifetime();
+  readonly #parts: RouterParts;
+
+  constructor(
+    settings: RouterSettings,
+    options: { clock: Clock; logger: Logger },
+  ) {
+    this.#settings = settings;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.#parts = new RouterParts(
+      { settings, ...options },
+      this.#lifetime.signal,
+    );
+  }
+
+  /** Serves until the signal aborts, then leaves without cutting a request. */
+  async run(signal: AbortSignal): Promise<void> {
+    try {
+      await this.#start();
+      await this.#join(signal);
+      await waitForAbort(signal);
+      await this.#leave();
+    } finally {
+      this.#lifetime.abort();
+    }
+    this.#logger.info("stopped");
+  }
+
+  async #start(): Promise<void> {
+    const { network, server } = this.#parts;
+    const { signal } = this.#lifetime;
+    this.#connectParts();
+    await network.start(signal);
+    await server.start(signal);
+    this.#runTask("membership", this.#parts.membership.run(signal));
+    this.#runTask("configuration peer", this.#parts.peer.run(signal));
+    this.#runTask("configuration watcher", this.#parts.watcher.run(signal));
+    this.#runTask("dispatcher", this.#parts.dispatcher.run(signal));
+    this.#runTask(
+      "VM list reader",
+      runVmListReader({
+        vms: this.#parts.platform.vms,
+        membership: this.#parts.membership,
+        clock: this.#clock,
+        random: this.#parts.random,
+        logger: this.#logger.forPart("membership"),
+      }, signal),
+    );
+    this.#runTask(
+      "pool roles",
+      runHashedRoles(this.#parts, this.#clock, signal),
+    );
+    this.#logger.info("listens", {
+      vm: this.#settings.vm,
+      zone: this.#settings.zone,
+      callerPort: this.#settings.listen.callerPort,
+      controlPort: this.#settings.listen.controlPort,
+    });
+  }
+
+  #connectParts(): void {
+    const { links, network, dispatcher, store, host, terms, membership } =
+      this.#parts;
+    const { signal } = this.#lifetime;
+    const reconnected = (vm: string) => dispatcher.followLink(vm);
+    links.follow(network, { reconnected }, signal);
+    store.changed.listen((configuration) => {
+      host.updateConfiguration(configuration);
+      host.updatePeers();
+    }, signal);
+    terms.changes.listen((term) => {
+      network.learnContact(term.contact);
+      membership.announceTerm(term);
+      dispatcher.followTerm(term.pool);
+      host.updatePeers();
+    }, signal);
+    membership.changes.listen((change) => {
+      if (change.kind !== MembershipChangeKind.Died) {
+        network.learnContact(change.contact);
+      }
+      host.updatePeers();
+    }, signal);
+    for (const peer of this.#settings.peers) {
+      network.learnContact(peer);
+    }
+  }
+
+  async #join(signal: AbortSignal): Promise<void> {
+    const { log, store, state } = this.#parts;
+    await waitUntilJoined({
+      log,
+      store,
+      clock: this.#clock,
+      windowMilliseconds: JOIN_WINDOW_MILLISECONDS,
+    }, signal);
+    if (signal.aborted) {
+      return;
+    }
+    state.phase = RouterPhase.Serving;
+    this.#logger.info("serves callers", { version: store.current.version });
+  }
+
+  async #leave(): Promise<void> {
+    const { state, membership, server, keyedCalls } = this.#parts;
+    const { shutdown } = this.#settings;
+    const endsAt = this.#clock.now() + shutdown.longestMilliseconds;
+    this.#logger.info("leaves the fleet", { active: server.active });
+    state.phase = RouterPhase.Leaving;
+    membership.announceLeave();
+    server.stopAccepting();
+    while (server.active > 0 && this.#clock.now() < endsAt) {
+      await this.#clock.sleep(DRAIN_STEP_MILLISECONDS, this.#lifetime.signal);
+    }
+    await keyedCalls.settle();
+    if (server.active > 0) {
+      this.#logger.warn("the longest time for a shutdown is over", {
+        cut: server.active,
+      });
+    }
+  }
+
+  #runTask(name: string, task: Promise<void>): void {
+    task.catch((thrown) => {
+      this.#logger.error(`the task "${name}" failed`, {
+        reason: describeError(thrown),
+      });
+    });
+  }
+}
+
+async function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) {
+    return;
+  }
+  await new Promise<void>((resolve) => {
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
