Connect from the address that the settings name

Cause: routers dialled from whatever address the system chose, so that a VM with several addresses shows the wrong one, and a proxied local fleet could not tell whose traffic it was. Change: peers, platform and endpoints are dialled from listen.host.

--- a/packages/platform/src/http/connector.ts
+++ b/packages/platform/src/http/connector.ts
@@ -14,13 +14,24 @@
   return cause.message === "" ? code ?? cause.name : cause.message;
 }
 
+/** How connections are made. */
+export interface ConnectorOptions {
+  connectTimeoutMilliseconds: number;
+  /** The own IP number to connect from; empty lets the system choose. */
+  localAddress: string;
+}
+
 /** Creates a connector for undici whose failures are all ConnectErrors. */
 export function createConnector(
-  timeoutMilliseconds: number,
+  options: ConnectorOptions,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMilliseconds });
-  return (options, callback) => {
-    connect(options, (error, socket) => {
+  const { localAddress, connectTimeoutMilliseconds } = options;
+  const connect = buildConnector({
+    timeout: connectTimeoutMilliseconds,
+    ...(localAddress === "" ? {} : { localAddress }),
+  });
+  return (target, callback) => {
+    connect(target, (error, socket) => {
       if (error !== null) {
         callback(new ConnectError(error), null);
         return;
--- a/packages/platform/src/http/endpoint_exchange.ts
+++ b/packages/platform/src/http/endpoint_exchange.ts
@@ -37,6 +37,7 @@
 export interface EndpointConnectionsOptions {
   clock: Clock;
   connectTimeoutMilliseconds: number;
+  localAddress: string;
 }
 
 interface EndpointPool {
@@ -107,7 +108,7 @@
     }
     const { origin, pathPrefix } = parseBaseUrl(address.url);
     const pool = new Pool(origin, {
-      connect: createConnector(this.#options.connectTimeoutMilliseconds),
+      connect: createConnector(this.#options),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/platform/src/http/http_endpoint_client.ts
+++ b/packages/platform/src/http/http_endpoint_client.ts
@@ -36,6 +36,8 @@
 export interface HttpEndpointClientOptions {
   clock: Clock;
   connectTimeoutMilliseconds?: number;
+  /** The own IP number to connect from; the system chooses without it. */
+  localAddress?: string;
   /** The time limit of load reports, cancels and the start of a resume. */
   controlTimeoutMilliseconds?: number;
   /** The longest silence in a resumed stream. */
@@ -60,6 +62,7 @@
       connectTimeoutMilliseconds: DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
       controlTimeoutMilliseconds: DEFAULT_CONTROL_TIMEOUT_MILLISECONDS,
       idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
+      localAddress: "",
       ...options,
     };
     this.#connections = new EndpointConnections(this.#options, signal);
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -46,6 +46,8 @@
   /** The longest time of a call with all its retries. */
   deadlineMilliseconds?: number;
   connectTimeoutMilliseconds?: number;
+  /** The own IP number to connect from; the system chooses without it. */
+  localAddress?: string;
   bodyLimitBytes?: number;
   backoff?: BackoffOptions;
 }
@@ -61,6 +63,7 @@
       deadlineMilliseconds: DEFAULT_DEADLINE_MILLISECONDS,
       connectTimeoutMilliseconds: DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
       bodyLimitBytes: DEFAULT_BODY_LIMIT_BYTES,
+      localAddress: "",
       backoff: DEFAULT_BACKOFF,
       ...options,
     };
@@ -68,7 +71,7 @@
     this.#pathPrefix = pathPrefix;
     this.#pool = new Pool(origin, {
       connections: DEFAULT_CONNECTIONS,
-      connect: createConnector(this.#options.connectTimeoutMilliseconds),
+      connect: createConnector(this.#options),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -30,6 +30,8 @@
 /** What every link of a router shares. */
 export interface LinkEnvironment {
   self: VmContact;
+  /** The own IP number to connect from. */
+  localAddress: string;
   fleetKeys: readonly string[];
   clock: Clock;
   random: RandomSource;
@@ -124,7 +126,11 @@
   async #dial(signal: AbortSignal): Promise<OpenConnection | undefined> {
     const { clock, logger, self, fleetKeys } = this.#environment;
     const fleetKey = fleetKeys[0] ?? "";
-    const socket = connect(this.#contact.controlPort, this.#contact.host);
+    const socket = connect({
+      port: this.#contact.controlPort,
+      host: this.#contact.host,
+      localAddress: this.#environment.localAddress,
+    });
     const framed = new FramedSocket(socket, HANDSHAKE_FRAME_BYTES);
     try {
       const session = await runWithDeadline(
--- a/packages/protocol/src/peer_network.ts
+++ b/packages/protocol/src/peer_network.ts
@@ -20,7 +20,7 @@
 export interface PeerNetworkOptions {
   /** This VM, as other VMs reach it. */
   self: VmContact;
-  /** Where the control port listens. */
+  /** Where the control port listens, and from where peers are dialled. */
   listen: { host: string; port: number };
   /** The first is used for dialling, all are accepted. */
   fleetKeys: readonly string[];
@@ -71,6 +71,7 @@
     this.#options = options;
     this.#environment = {
       self: options.self,
+      localAddress: options.listen.host,
       fleetKeys: options.fleetKeys,
       clock: options.clock,
       random: options.random,
--- a/packages/router/src/host/platform_clients.ts
+++ b/packages/router/src/host/platform_clients.ts
@@ -22,18 +22,20 @@
 
 /** Creates the clients; their connections close when the signal aborts. */
 export function createPlatformClients(
-  settings: RouterSettings["platform"],
+  settings: RouterSettings,
   options: { clock: Clock; random: RandomSource },
   signal: AbortSignal,
 ): PlatformClients {
   const { clock, random } = options;
-  const budget = new PlatformBudget(settings, { clock, random });
+  const { platform, listen } = settings;
+  const budget = new PlatformBudget(platform, { clock, random });
   const transport = new PlatformTransport({
-    url: settings.url,
+    url: platform.url,
     clock,
     random,
     budget,
-    deadlineMilliseconds: settings.requestTimeoutMilliseconds,
+    deadlineMilliseconds: platform.requestTimeoutMilliseconds,
+    localAddress: listen.host,
   }, signal);
   return {
     table: new HttpTableService(transport),
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -109,13 +109,14 @@
       quarantineMilliseconds: settings.scheduling.quarantineMilliseconds,
     });
     this.platform = createPlatformClients(
-      settings.platform,
+      settings,
       { clock, random: this.random },
       signal,
     );
     this.#endpoints = new HttpEndpointClient({
       clock,
       idleTimeoutMilliseconds: settings.requests.idleTimeoutMilliseconds,
+      localAddress: settings.listen.host,
     }, signal);
     this.network = this.#createNetwork();
     this.peer = this.#createPeer();
