Test the ingress, and keep a grant that a scheduler repeats

Cause: a scheduler that believes a grant lost sends it again; the dispatcher declined the repetition, which freed a slot that was in use. Change: a grant of the attempt that already runs is passed over; a VM that restarted empty is dropped and taken in again by the schedulers.

--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -140,6 +140,16 @@
     }
   }
 
+  /** Drops what a VM had before it restarted, then takes it in again. */
+  replaceIngress(vm: VmId): void {
+    for (const { pool, scheduler } of this.#hosted.values()) {
+      const peers = this.#options.findPeers(pool);
+      const ingresses = peers.ingresses.filter((ingress) => ingress !== vm);
+      scheduler.updatePeers({ ...peers, ingresses });
+      scheduler.updatePeers(peers);
+    }
+  }
+
   /** Describes all pools that this VM schedules. */
   describeStatus(): PoolStatus[] {
     return [...this.#hosted.values()].map(({ scheduler }) =>
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -252,6 +252,10 @@
   #handleGrant(from: VmId, grant: GrantMessage): void {
     const { ledger, directory, sender } = this.#options;
     const entry = ledger.find(grant.request);
+    if (entry?.current?.attempt === grant.attempt) {
+      // The scheduler repeats a grant that it believes lost; it is in use.
+      return;
+    }
     const usable = entry !== undefined &&
       entry.phase === CallPhase.Waiting &&
       !directory.isSuperseded(grant.pool, grant.term);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -126,6 +126,9 @@
       if (change.kind !== MembershipChangeKind.Died) {
         network.learnContact(change.contact);
       }
+      if (change.kind === MembershipChangeKind.Renewed) {
+        host.replaceIngress(change.contact.vm);
+      }
       host.updatePeers();
     }, signal);
     for (const peer of this.#settings.peers) {
--- /dev/null
+++ b/packages/router/src/testing/fixtures.ts
@@ -0,0 +1,240 @@
+/** Fixtures for tests of the ingress. */
+
+import { createSilentLogger, ManualClock } from "@rattanvane/base";
+import {
+  type Endpoint,
+  type Organisation,
+  type Service,
+  ServiceKind,
+} from "@rattanvane/configuration";
+import {
+  type GrantMessage,
+  type Message,
+  MessageKind,
+  MessageSender,
+  PlacementReason,
+  type PoolId,
+  type Term,
+  type VmId,
+} from "@rattanvane/protocol";
+import type { AttemptEnvironment } from "../ingress/attempt_environment.ts";
+import { CallLedger } from "../ingress/call_ledger.ts";
+import { Dispatcher } from "../ingress/dispatcher.ts";
+import type { IngressCall } from "../ingress/ingress_call.ts";
+import { LedgerEntry } from "../ingress/ledger_entry.ts";
+import { RetryPolicy } from "../ingress/retry_policy.ts";
+import { SchedulerDirectory } from "../ingress/scheduler_directory.ts";
+import { RouterMetrics } from "../router_metrics.ts";
+import type { ScriptedEndpoint } from "./scripted_endpoint.ts";
+
+/** The pool of all fixtures. */
+export const POOL: PoolId = { zone: "zone-a", service: "assistant" };
+
+/** The VM that schedules the pool at first. */
+export const SCHEDULER = "vm-a1";
+
+/** The VM whose ingress is tested. */
+export const SELF = "vm-a2";
+
+const DEADLINE_MILLISECONDS = 60_000;
+const MOST_RETRIES = 5;
+
+/** One message that was sent. */
+export interface SentMessage {
+  vm: VmId;
+  message: Message;
+}
+
+/** Keeps what is sent. */
+export class RecordingSender extends MessageSender {
+  readonly sent: SentMessage[] = [];
+
+  override send(vm: VmId, message: Message): void {
+    this.sent.push({ vm, message });
+  }
+
+  override learnContact(): void {}
+
+  /** Lists the messages of one kind. */
+  list<Kind extends MessageKind>(
+    kind: Kind,
+  ): Extract<Message, { kind: Kind }>[] {
+    return this.sent.map(({ message }) => message).filter(
+      (message): message is Extract<Message, { kind: Kind }> =>
+        message.kind === kind,
+    );
+  }
+}
+
+/** A directory whose answers a test sets. */
+export class FixedDirectory extends SchedulerDirectory {
+  scheduler: VmId | undefined = SCHEDULER;
+  reachable = true;
+  term: Term = { number: 1, holder: SCHEDULER };
+
+  override choosePool(): PoolId {
+    return POOL;
+  }
+
+  override findScheduler(): VmId | undefined {
+    return this.scheduler;
+  }
+
+  override isReachable(): boolean {
+    return this.reachable;
+  }
+
+  override isSuperseded(_pool: PoolId, term: Term): boolean {
+    return term.number < this.term.number;
+  }
+}
+
+/** Allows a few retries, without delay. */
+class CountedRetries extends RetryPolicy {
+  #left = MOST_RETRIES;
+
+  override countRequest(): void {}
+
+  override takeRetry(): boolean {
+    this.#left--;
+    return this.#left >= 0;
+  }
+
+  override computeDelay(): number {
+    return 0;
+  }
+}
+
+/** The parts of an ingress with a recording sender. */
+export interface IngressFixture {
+  clock: ManualClock;
+  sender: RecordingSender;
+  directory: FixedDirectory;
+  ledger: CallLedger;
+  dispatcher: Dispatcher;
+}
+
+/** Creates an ingress's dispatcher with fakes around it. */
+export function createIngress(): IngressFixture {
+  const clock = new ManualClock();
+  const sender = new RecordingSender();
+  const directory = new FixedDirectory();
+  const ledger = new CallLedger();
+  const dispatcher = new Dispatcher({
+    self: SELF,
+    ledger,
+    directory,
+    sender,
+    clock,
+    logger: createSilentLogger(),
+  });
+  return { clock, sender, directory, ledger, dispatcher };
+}
+
+/** Creates the environment of attempts at one scripted endpoint. */
+export function createEnvironment(
+  ingress: IngressFixture,
+  client: ScriptedEndpoint,
+): AttemptEnvironment {
+  return {
+    dispatcher: ingress.dispatcher,
+    client,
+    retries: new CountedRetries(),
+    clock: ingress.clock,
+    logger: createSilentLogger(),
+    metrics: createMetrics(),
+    limits: {
+      firstByteTimeoutMilliseconds: 1_000,
+      idleTimeoutMilliseconds: 1_000,
+      plainAnswerBytes: 1_000,
+    },
+    fleetKeys: ["a fleet key for tests with enough characters"],
+    findEndpoint: createEndpoint,
+  };
+}
+
+/** Creates a call and puts it into the ledger. */
+export function createEntry(
+  ingress: IngressFixture,
+  options: { request?: string; body?: string } = {},
+): LedgerEntry {
+  const call: IngressCall = {
+    request: options.request ?? "request-1",
+    organisation: createOrganisation(),
+    service: createService(ServiceKind.Model),
+    method: "POST",
+    path: "/v1/completions",
+    headers: [],
+    body: new TextEncoder().encode(options.body ?? ""),
+    deadlineAt: ingress.clock.now() + DEADLINE_MILLISECONDS,
+    hintedCost: 0,
+    fingerprint: "fingerprint",
+    prefix: "",
+  };
+  const entry = new LedgerEntry(call, ingress.clock.now());
+  ingress.ledger.add(entry);
+  return entry;
+}
+
+/** Creates a grant for a request. */
+export function createGrant(
+  options: { request?: string; attempt?: string; endpoint?: string } = {},
+): GrantMessage {
+  return {
+    kind: MessageKind.Grant,
+    pool: POOL,
+    term: { number: 1, holder: SCHEDULER },
+    request: options.request ?? "request-1",
+    attempt: options.attempt ?? "attempt-1",
+    endpoint: options.endpoint ?? "engine-1",
+    reason: PlacementReason.LeastLoaded,
+  };
+}
+
+/** Creates an organisation that may reach the service. */
+export function createOrganisation(): Organisation {
+  return {
+    name: "bakery",
+    weight: 1,
+    keyHashes: [],
+    services: ["assistant"],
+    queueLimit: 100,
+  };
+}
+
+/** Creates the service of all fixtures. */
+export function createService(kind: ServiceKind): Service {
+  return {
+    name: "assistant",
+    kind,
+    repeatRules: [],
+    initialCostEstimate: 100,
+  };
+}
+
+function createEndpoint(name: string): Endpoint {
+  return {
+    name,
+    zone: POOL.zone,
+    service: POOL.service,
+    url: "http://127.0.0.1:1",
+    coldLimit: 1,
+    limitCeiling: 8,
+    drained: false,
+    checksFencing: false,
+  };
+}
+
+function createMetrics(): RouterMetrics {
+  const readZero = () => 0;
+  return new RouterMetrics({
+    countWaiting: readZero,
+    countRunning: readZero,
+    countPools: readZero,
+    countUnleasedPools: readZero,
+    countLiveVms: readZero,
+    readConfigurationVersion: readZero,
+    readSentBytes: readZero,
+    readReceivedBytes: readZero,
+  });
+}
