--- a/packages/configuration/src/configuration_peer.ts
+++ b/packages/configuration/src/configuration_peer.ts
@@ -5,6 +5,7 @@
   Deferred,
   type Logger,
   type RandomSource,
+  runWithDeadline,
 } from "@rattanvane/base";
 import {
   type ChangesMessage,
@@ -94,9 +95,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock, store } = this.#options;
     store.changed.listen(({ version }) => this.#announce(version), signal);
-    signal.addEventListener("abort", () => this.#needed.resolve(), {
-      once: true,
-    });
+    signal.addEventListener("abort", () => this.#stopWaiting(), { once: true });
     while (!signal.aborted) {
       const holder = this.#pickHolder();
       if (holder === undefined) {
@@ -111,6 +110,11 @@
     }
   }
 
+  #stopWaiting(): void {
+    this.#needed.resolve();
+    this.#pending?.answer.resolve(undefined);
+  }
+
   #announce(version: number): void {
     const { listPeers, random, sender } = this.#options;
     const told = random.shuffle(listPeers()).slice(0, ANNOUNCED_PEERS);
@@ -227,8 +231,10 @@
       afterVersion: store.current.version,
       ...(step.snapshot === undefined ? {} : { snapshot: step.snapshot }),
     });
-    clock.sleep(ANSWER_TIMEOUT_MILLISECONDS, step.signal)
-      .then(() => answer.resolve(undefined));
-    return await answer.promise;
+    return await runWithDeadline(() => answer.promise, {
+      clock,
+      milliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+      expire: () => answer.resolve(undefined),
+    }, step.signal);
   }
 }
--- a/packages/configuration/src/configuration_transfer_test.ts
+++ b/packages/configuration/src/configuration_transfer_test.ts
@@ -54,8 +54,8 @@
     logger: createSilentLogger(),
     listPeers: () => [],
   });
-  peer.run(ending.signal);
-  return { store, sender, clock, peer };
+  const ended = peer.run(ending.signal);
+  return { store, sender, clock, peer, ended };
 }
 
 function createHolder(organisations: number): ConfigurationStore {
@@ -213,6 +213,27 @@
   });
 });
 
+describe("ConfigurationPeer", () => {
+  const states = [
+    { title: "while it waits for news", start: () => {} },
+    {
+      title: "while it waits for an answer",
+      start: ({ peer }: ReturnType<typeof createAsker>) =>
+        peer.learnVersion("holder", 1),
+    },
+  ];
+  for (const { title, start } of states) {
+    it(`ends when it is told to ${title}`, async () => {
+      const asker = createAsker();
+      start(asker);
+      await asker.clock.advance(0);
+      ending.abort();
+      await asker.ended;
+      ending = new AbortController();
+    });
+  }
+});
+
 describe("ConfigurationStore", () => {
   it("stays at the version before a change that it cannot read", () => {
     const store = createHolder(0);
--- a/packages/configuration/src/log_writer.ts
+++ b/packages/configuration/src/log_writer.ts
@@ -23,8 +23,11 @@
 } from "./configuration_error.ts";
 import type { ConfigurationLog, LogHead } from "./configuration_log.ts";
 import { decodeChanges } from "./configuration_log.ts";
-import { convertPlatformError } from "./convert_platform_error.ts";
-import { createConflictError } from "./conflict_error.ts";
+import {
+  createConflictError,
+  createTooManyRowsError,
+  createUnfinishedError,
+} from "./writer_errors.ts";
 import { formatLogKey, HEAD_KEY } from "./log_rows.ts";
 import type { FleetConfiguration } from "./model.ts";
 import { removeOldRows } from "./remove_old_rows.ts";
@@ -32,6 +35,9 @@
 /** The longest change, so that it fits into one message between VMs. */
 export const LARGEST_CHANGE_BYTES = 128 * 1_024;
 
+/** The most rows that are written along with a change, in its transaction. */
+export const MOST_ATTACHED_ROWS = 98;
+
 /** How many changes lie between two snapshots. */
 export const CHANGES_BETWEEN_SNAPSHOTS = 200;
 
@@ -74,6 +80,10 @@
     request: AppendRequest,
     signal: AbortSignal,
   ): Promise<Result<Change, ConfigurationError[]>> {
+    const rows = request.attachedRows?.length ?? 0;
+    if (rows > MOST_ATTACHED_ROWS) {
+      return err([createTooManyRowsError(rows, MOST_ATTACHED_ROWS)]);
+    }
     const start = await this.#readStart(signal);
     if (start.isErr()) {
       return err([start.error]);
@@ -256,19 +266,3 @@
     }),
   ]);
 }
-
-function createUnfinishedError(
-  change: Change,
-  outcome: { mayBeWritten: boolean; lastError: PlatformError | undefined },
-): ConfigurationError {
-  if (!outcome.mayBeWritten && outcome.lastError !== undefined) {
-    return convertPlatformError(outcome.lastError);
-  }
-  return new ConfigurationError({
-    kind: ConfigurationErrorKind.OutcomeUnknown,
-    problem: `Cannot tell whether version ${change.version} with the id ` +
-      `"${change.id}" was accepted: the platform's answers were lost`,
-    remedy: "look for the id with `rattanvane configuration history`",
-    cause: outcome.lastError,
-  });
-}
--- a/packages/configuration/src/log_writer_test.ts
+++ b/packages/configuration/src/log_writer_test.ts
@@ -1,3 +1,4 @@
+import { WriteConditionKind } from "@rattanvane/platform";
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { ConfigurationErrorKind } from "./configuration_error.ts";
@@ -134,6 +135,24 @@
     );
   });
 
+  it("refuses more rows than one transaction takes", async () => {
+    const platform = await createFilledPlatform();
+    const attachedRows = Array.from({ length: 99 }, (_, index) => ({
+      key: `configuration/questionnaire/team-${index}`,
+      condition: { kind: WriteConditionKind.Always as const },
+      value: "{}",
+    }));
+    const append = (rows: typeof attachedRows) =>
+      platform.createWriter("anna").append({
+        author: "anna",
+        operations: createWeightOperations(5),
+        attachedRows: rows,
+      }, signal);
+    expect((await append(attachedRows))._unsafeUnwrapErr()[0]!.kind)
+      .to.equal(ConfigurationErrorKind.TooLarge);
+    (await append(attachedRows.slice(1)))._unsafeUnwrap();
+  });
+
   it("cannot insert an old number again after the log was trimmed", async () => {
     const platform = await createFilledPlatform();
     const table = new PausedTable(platform.table);
