--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,7 +23,8 @@
   | scheduling.HandoverMessage
   | scheduling.CounterDeltaMessage
   | scheduling.OfferMessage
-  | scheduling.MoveEntriesMessage;
+  | scheduling.MoveEntriesMessage
+  | scheduling.EntriesTakenMessage;
 
 /** Messages to an ingress. */
 export type IngressMessage =
@@ -35,6 +36,7 @@
 
 /** Messages that spread the configuration. */
 export type ConfigurationMessage =
+  | configuration.AnnounceVersionMessage
   | configuration.RequestChangesMessage
   | configuration.ChangesMessage;
 
