Close gaps that sharper tests of the pool scheduler found

Cause: after a takeover, attempts of other zones' ingresses were not known and cold endpoints got too much; two schedulers without a lease went past the limit when a report caught slots between two attempts, and the first one starved the second; time before an endpoint's start counted as evidence; an endpoint that was down was kept for suspects; a handover counted running attempts twice. Ruled out: asking all zones' ingresses (a VM knows few of them). Change: no grants before a report taken since the start, the handover carries the running attempts, the share without a lease follows its use and leaves one slot, growth starts with the endpoint, wards are endpoints that are up.

--- a/packages/fairness/src/fair_queue.ts
+++ b/packages/fairness/src/fair_queue.ts
@@ -185,6 +185,11 @@
     return charge;
   }
 
+  /** Takes over a charge that restored counters already hold. */
+  adoptCharge(organisation: OrganisationId, amount: number): Charge {
+    return { organisation, weight: this.#findWeight(organisation), amount };
+  }
+
   /** Corrects a charge to what the attempt has cost in all. */
   updateCharge(charge: Charge, amount: number): void {
     const account = this.#findAccount(charge.organisation);
@@ -233,6 +238,8 @@
   restoreCounter(organisation: OrganisationId, virtual: number): void {
     const account = this.#findAccount(organisation);
     this.#addVirtual(account, Math.max(0, virtual - account.virtual));
+    // Its entries come with the ingresses' reports; it has not been idle.
+    account.emptySince = this.#clock.now();
   }
 
   /** The counters of organisations that are not behind the floor. */
--- a/packages/limits/src/cautious_share.ts
+++ b/packages/limits/src/cautious_share.ts
@@ -15,14 +15,18 @@
 /**
  * Starts with half of the limit, so that two schedulers never exceed it, and
  * adds one slot each time that fresh reports showed no foreign request for
- * longer than their lag. A foreign request, or a moment in which less than the
- * half is used, puts it back to the half: the other side then sees room and
- * may take it, and this side must not fill it at the same time.
+ * longer than their lag, up to one below the limit: the last slot stays for a
+ * second scheduler, which by using it makes itself known. A foreign request or
+ * a raised limit puts the share back to the half, and slots beyond the half that
+ * are not used are lost at once: the other side sees them free and may take
+ * them, and this side must not fill them at the same time.
  */
 export class CautiousShare {
   readonly #settings: EndpointLimitSettings;
   readonly #trialDelay: number;
   #own = 0;
+  #ownSince = 0;
+  #limit = 0;
   #usedAt = -Infinity;
   #extra = 0;
   #cleanSince: number | undefined;
@@ -36,22 +40,33 @@
 
   /** The most that this scheduler may have at the endpoint. */
   computeShare(limit: number, now: number): number {
-    const half = Math.floor(limit / 2);
     const isFresh =
       now - this.#reportedAt <= this.#settings.reportFreshMilliseconds;
-    if (!isFresh || !this.#isUsed(limit, now)) {
+    if (!isFresh || limit > this.#limit) {
       this.#reset();
     }
-    return Math.min(limit, half + this.#extra);
+    this.#limit = limit;
+    this.#dropUnused(now);
+    return Math.min(Math.max(1, limit - 1), this.#half + this.#extra);
   }
 
   /** Takes in how many attempts this scheduler now has there. */
   updateOwn(own: number, options: { limit: number; now: number }): void {
-    const needed = computeNeeded(options.limit);
-    if (own >= needed || this.#own >= needed) {
+    const share = this.#half + this.#extra;
+    if (this.#own >= share) {
       this.#usedAt = options.now;
     }
+    if (this.#own === 0) {
+      this.#ownSince = options.now;
+    }
     this.#own = own;
+    this.computeShare(options.limit, options.now);
+  }
+
+  /** Whether a second scheduler must have seen attempts of this one. */
+  isKnown(now: number): boolean {
+    return this.#own > 0 &&
+      now - this.#ownSince > this.#settings.aloneMilliseconds;
   }
 
   /** Takes in a report. */
@@ -59,26 +74,38 @@
     const { now, limit, sampledAt } = report;
     this.#reportedAt = now;
     const share = this.computeShare(limit, now);
-    if (report.foreign > 0 || !this.#isUsed(limit, now)) {
+    if (report.foreign > 0) {
       this.#reset();
       return;
     }
+    if (this.#own < share) {
+      return;
+    }
     this.#cleanSince ??= sampledAt;
     const clean = sampledAt - this.#cleanSince;
     const isPatient = clean > this.#computePatience(limit);
-    if (isPatient && report.isSure && share < limit) {
+    const mayGrow = share < Math.max(1, limit - 1);
+    if (isPatient && report.isSure && mayGrow) {
       this.#extra++;
       this.#usedAt = now;
       this.#cleanSince = sampledAt;
     }
   }
 
-  #isUsed(limit: number, now: number): boolean {
-    if (this.#own >= computeNeeded(limit)) {
-      return true;
+  get #half(): number {
+    return Math.floor(this.#limit / 2);
+  }
+
+  #dropUnused(now: number): void {
+    const half = this.#half;
+    if (this.#own >= half + this.#extra) {
+      this.#usedAt = now;
+      return;
+    }
+    if (now - this.#usedAt > UNUSED_MILLISECONDS) {
+      this.#extra = Math.max(0, this.#own - half);
+      this.#cleanSince = undefined;
     }
-    const isRecent = now - this.#usedAt <= UNUSED_MILLISECONDS;
-    return isRecent || (limit < 2 && this.#extra === 0);
   }
 
   #reset(): void {
@@ -104,11 +131,6 @@
   limit: number;
 }
 
-/** What must be in use for extra slots to be kept. */
-function computeNeeded(limit: number): number {
-  return Math.max(1, Math.floor(limit / 2));
-}
-
 function hashName(name: string): number {
   let hash = 0;
   for (const letter of name) {
--- a/packages/limits/src/endpoint_limit.ts
+++ b/packages/limits/src/endpoint_limit.ts
@@ -168,9 +168,8 @@
     if (verdict === BootVerdict.Former) {
       return EndpointNews.Nothing;
     }
-    const startVerdict = this.#boot.updateStart(
-      sampledAt - report.uptimeMilliseconds,
-    );
+    const startedAt = sampledAt - report.uptimeMilliseconds;
+    const startVerdict = this.#boot.updateStart(startedAt);
     if (startVerdict === BootVerdict.Restarted) {
       verdict = startVerdict;
     }
@@ -178,6 +177,7 @@
       this.#reset(now);
     }
     this.#health.recordReport();
+    this.#growth.recordStart(startedAt);
     this.#sampledAt = Math.max(this.#sampledAt, sampledAt);
     this.#learnFromReport(report, { sampledAt, now });
     return verdict === BootVerdict.Restarted
@@ -213,16 +213,19 @@
 
   #computeRoom(limit: number): number {
     const now = this.#clock.now();
-    const foreign = this.#work.countForeign(now);
     if (this.#leased) {
-      return limit - foreign;
+      return limit - this.#work.countForeign(now);
     }
     const share = this.#share.computeShare(limit, now);
+    const foreign = this.#work.countPeakForeign(now);
     if (foreign === 0 || foreign < Math.floor(limit / 2)) {
       return share;
     }
-    // One slot stays back: the other side may add one before a report shows it.
-    return Math.min(share, limit - 1 - foreign);
+    if (foreign * 2 <= limit && this.#share.isKnown(now)) {
+      return share;
+    }
+    // Room for one: it makes the other side go back to its half.
+    return foreign < limit ? 1 : 0;
   }
 
   #updateShare(): void {
@@ -271,6 +274,9 @@
     if (seen.isLate) {
       return;
     }
+    if (this.#health.state !== EndpointState.Up) {
+      this.#growth.recordStart(seen.now);
+    }
     this.#health.recordSuccess();
     this.#growth.recordCompletion(end.firstByteMilliseconds, seen.now);
   }
--- a/packages/limits/src/endpoint_restart_test.ts
+++ b/packages/limits/src/endpoint_restart_test.ts
@@ -7,6 +7,7 @@
   createEnd,
   createFixture,
   createReport,
+  INTERVAL,
   runRounds,
   startAll,
 } from "./testing/endpoint_limit_fixture.ts";
@@ -90,6 +91,18 @@
     expect(fixture.limit.limit).to.equal(2);
   });
 
+  it("counts no time before the start as evidence", async () => {
+    for (const uptimeMilliseconds of [500, 5000]) {
+      const { clock, limit } = createFixture();
+      await clock.advance(INTERVAL);
+      limit.receiveReport(createReport({ uptimeMilliseconds }));
+      startAll(limit).forEach((attempt) =>
+        limit.finishAttempt(attempt, createEnd())
+      );
+      expect(limit.limit).to.equal(uptimeMilliseconds < INTERVAL ? 2 : 4);
+    }
+  });
+
   it("does not double past the limit at which it fell over", async () => {
     const fixture = createFixture();
     await runRounds(fixture, { rounds: 3 });
--- a/packages/limits/src/limit_growth.ts
+++ b/packages/limits/src/limit_growth.ts
@@ -82,6 +82,11 @@
     this.#baseline = 0;
   }
 
+  /** Counts no time as evidence in which the endpoint had not started yet. */
+  recordStart(startedAt: number): void {
+    this.#changedAt = Math.max(this.#changedAt, startedAt);
+  }
+
   /** Starts from a limit that a former scheduler found. */
   restore(limit: number, now: number): void {
     this.#raise(Math.max(this.#limit, limit), now);
--- a/packages/limits/src/outstanding_work.ts
+++ b/packages/limits/src/outstanding_work.ts
@@ -41,6 +41,7 @@
   #foreignAt = 0;
   #isSure = false;
   #absent: number[] = [];
+  #foreignHistory: CountChange[] = [];
 
   constructor(
     settings: EndpointLimitSettings,
@@ -93,6 +94,19 @@
     return age <= this.#settings.reportFreshMilliseconds ? this.#foreign : 0;
   }
 
+  /**
+   * The most requests of others that reports showed lately. A single report
+   * may catch a moment in which the other side's slots change hands.
+   */
+  countPeakForeign(now: number): number {
+    const since = now - this.#settings.aloneMilliseconds;
+    this.#foreignHistory = this.#foreignHistory.filter(({ at }) => at >= since);
+    return this.#foreignHistory.reduce(
+      (peak, { count }) => Math.max(peak, count),
+      this.countForeign(now),
+    );
+  }
+
   /** Whether the last report left no doubt of how many are foreign. */
   get isSure(): boolean {
     return this.#isSure;
@@ -131,6 +145,9 @@
     const kept = this.#leased ? 0 : Math.min(this.countForeign(now), most);
     this.#foreign = Math.max(least, kept);
     this.#foreignAt = now;
+    if (!this.#leased) {
+      this.#foreignHistory.push({ at: now, count: this.#foreign });
+    }
     this.#isSure = least === most;
     this.#forgetBefore(sample.sampledAt - 2 * slack);
   }
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -187,6 +187,11 @@
   limit: number;
 }
 
+/** A running attempt as one scheduler passes it to the next. */
+export interface HandedAttempt extends RunningAttempt {
+  ingress: VmId;
+}
+
 /** Passes a pool's learned state to its next scheduler. */
 export interface HandoverMessage {
   kind: MessageKind.Handover;
@@ -196,6 +201,8 @@
   virtualTime: number;
   counters: VirtualCounter[];
   limits: EndpointLimitState[];
+  /** Every attempt that is running or on its way, of all zones' ingresses. */
+  running: HandedAttempt[];
 }
 
 /** Service that a scheduler has given, by organisation. */
--- a/packages/scheduling/src/pool/attempt_table.ts
+++ b/packages/scheduling/src/pool/attempt_table.ts
@@ -5,6 +5,7 @@
   AttemptId,
   EndpointId,
   GrantMessage,
+  HandedAttempt,
   RequestId,
   VmId,
 } from "@rattanvane/protocol";
@@ -77,6 +78,19 @@
     return [...this.#attempts.values()];
   }
 
+  /** What the next scheduler should know of the attempts. */
+  listHanded(): HandedAttempt[] {
+    return this.list().map((grant) => ({
+      request: grant.request,
+      attempt: grant.attempt,
+      endpoint: grant.endpoint,
+      organisation: grant.charge.organisation,
+      cost: grant.charge.amount,
+      fingerprint: grant.fingerprint,
+      ingress: grant.ingress,
+    }));
+  }
+
   /** Whether a body runs now. */
   hasFingerprint(fingerprint: string): boolean {
     for (const grant of this.#attempts.values()) {
--- a/packages/scheduling/src/pool/entry_mover.ts
+++ b/packages/scheduling/src/pool/entry_mover.ts
@@ -89,7 +89,8 @@
         continue;
       }
       const idle = Math.min(sibling.offeredSlots, queue.size);
-      const spare = queue.size - idle - this.#computeReserve();
+      const spare = queue.size - idle - this.#computeReserve() -
+        this.#sumIdleSlots(sibling);
       const extra = Math.max(0, Math.min(sibling.offeredPrefetch, spare));
       sibling.offeredSlots = 0;
       sibling.offeredPrefetch = 0;
@@ -176,6 +177,16 @@
     return Math.ceil(this.#state.endpoints.sumSlots() * prefetchShare);
   }
 
+  /** Slots of other siblings that may be idle; their offers come first. */
+  #sumIdleSlots(except: Sibling): number {
+    let sum = 0;
+    for (const sibling of this.#siblings.list()) {
+      const mayBeIdle = sibling !== except && sibling.waiting === 0;
+      sum += mayBeIdle ? sibling.slots : 0;
+    }
+    return sum;
+  }
+
   #findTarget(isClosed: boolean): Sibling | undefined {
     const { settings } = this.#state.options;
     const { now } = this.#state;
--- a/packages/scheduling/src/pool/placement.ts
+++ b/packages/scheduling/src/pool/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the endpoint for an attempt. */
 
+import { EndpointState } from "@rattanvane/limits";
 import { PlacementReason, type QueueEntry } from "@rattanvane/protocol";
 import type { PoolEndpoint } from "./pool_endpoints.ts";
 import type { PoolState } from "./pool_state.ts";
@@ -66,7 +67,7 @@
 export function pickWard(state: PoolState): PoolEndpoint | undefined {
   let best: PoolEndpoint | undefined;
   for (const endpoint of state.endpoints.list()) {
-    if (endpoint.closed || endpoint.isWard) {
+    if (endpoint.isWard || !isServing(endpoint)) {
       continue;
     }
     if (best === undefined || computeLoad(endpoint) < computeLoad(best)) {
@@ -95,6 +96,11 @@
   return welcome.length > 0 ? welcome : open;
 }
 
+/** Whether an endpoint takes work and is not down. */
+export function isServing({ closed, limit }: PoolEndpoint): boolean {
+  return !closed && limit.state === EndpointState.Up;
+}
+
 function computeLoad(endpoint: PoolEndpoint): number {
   const { limit } = endpoint;
   return (limit.outstanding + limit.foreign) / Math.max(1, limit.limit);
--- a/packages/scheduling/src/pool/pool_endpoints.ts
+++ b/packages/scheduling/src/pool/pool_endpoints.ts
@@ -7,7 +7,13 @@
   type EndpointLimitSettings,
   EndpointState,
 } from "@rattanvane/limits";
-import type { AttemptId, EndpointId, PoolId, VmId } from "@rattanvane/protocol";
+import type {
+  AttemptId,
+  EndpointId,
+  EndpointLimitState,
+  PoolId,
+  VmId,
+} from "@rattanvane/protocol";
 
 /** One endpoint as the scheduler sees it. */
 export interface PoolEndpoint {
@@ -31,6 +37,8 @@
   clock: Clock;
   random: RandomSource;
   settings: EndpointLimitSettings;
+  /** The longest wait for an endpoint's report after a start. */
+  rebuildMilliseconds: number;
 }
 
 /** Follows the configuration and says how much room there is. */
@@ -39,6 +47,7 @@
   readonly #endpoints = new Map<EndpointId, PoolEndpoint>();
   readonly #startedAt: number;
   #rebuilding = true;
+  #isRunningKnown = false;
 
   constructor(options: PoolEndpointsOptions) {
     this.#options = options;
@@ -50,6 +59,11 @@
     this.#rebuilding = false;
   }
 
+  /** Takes in that all attempts of a former scheduler are known. */
+  recordHandover(): void {
+    this.#isRunningKnown = true;
+  }
+
   /** Takes in a configuration; endpoints that are gone finish their work. */
   updateConfiguration(configuration: FleetConfiguration): void {
     const { pool } = this.#options;
@@ -93,8 +107,8 @@
 
   /** Whether a suspect could run alone at an endpoint now. */
   canRunAlone(endpoint: PoolEndpoint): boolean {
-    return !endpoint.closed && endpoint.soleAttempt === undefined &&
-      endpoint.limit.isIdle && this.#computeRoom(endpoint) > 0;
+    return !endpoint.closed && endpoint.limit.isIdle &&
+      this.#computeRoom(endpoint) > 0;
   }
 
   /** How many ordinary attempts may start in the pool now. */
@@ -116,6 +130,15 @@
     return false;
   }
 
+  /** What the next scheduler should know of the endpoints. */
+  listLimits(): EndpointLimitState[] {
+    const limits: EndpointLimitState[] = [];
+    for (const { limit } of this.#endpoints.values()) {
+      limits.push(limit.describeState());
+    }
+    return limits;
+  }
+
   /** What the endpoints that take work bear together. */
   sumSlots(): number {
     let sum = 0;
@@ -137,19 +160,28 @@
     }
   }
 
+  #computeRoom({ limit }: PoolEndpoint): number {
+    if (this.#mayRunUnknown(limit)) {
+      return 0;
+    }
+    return this.#rebuilding
+      ? limit.computeFreeSlots(limit.coldLimit)
+      : limit.freeSlots;
+  }
+
   /**
-   * Until all ingresses have reported, attempts may run that nobody has told
-   * of: then only an endpoint's own report shows whether there is room.
+   * After a start, attempts may run that nobody here knows: those of ingresses
+   * that have not reported, and of other zones' ingresses, which are not asked.
+   * Only a report taken since then shows them.
    */
-  #computeRoom(endpoint: PoolEndpoint): number {
-    const { limit } = endpoint;
-    if (!this.#rebuilding) {
-      return limit.freeSlots;
-    }
-    if (limit.sampledAt < this.#startedAt) {
-      return 0;
+  #mayRunUnknown(limit: EndpointLimit): boolean {
+    const { clock, settings, rebuildMilliseconds } = this.#options;
+    const age = clock.now() - this.#startedAt;
+    if (this.#isRunningKnown || age >= rebuildMilliseconds) {
+      return false;
     }
-    return limit.computeFreeSlots(limit.coldLimit);
+    const onTheWay = settings.reportSlackMilliseconds;
+    return limit.sampledAt < this.#startedAt + onTheWay;
   }
 
   #updateEndpoint(endpoint: Endpoint, zoneDrained: boolean): void {
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -147,17 +147,14 @@
     const { sender, pool, term, logger } = this.#state.options;
     const { fair } = this.#state.queue;
     this.#isRetired = true;
-    const limits = [];
-    for (const { limit } of this.#state.endpoints.list()) {
-      limits.push(limit.describeState());
-    }
     sender.send(to, {
       kind: MessageKind.Handover,
       pool,
       term,
       virtualTime: fair.virtualTime,
       counters: fair.listCounters(),
-      limits,
+      limits: this.#state.endpoints.listLimits(),
+      running: this.#state.attempts.listHanded(),
     });
     logger.info("handed the pool over", {
       service: pool.service,
@@ -228,10 +225,15 @@
 
   #applyHandover(message: HandoverMessage): void {
     const { fair } = this.#state.queue;
+    this.#state.wasHandedOver = true;
     fair.shiftCounters(Math.max(0, message.virtualTime - fair.virtualTime));
     for (const { organisation, virtual } of message.counters) {
       fair.restoreCounter(organisation, virtual);
     }
+    for (const running of message.running) {
+      this.#reports.adopt(running.ingress, running);
+    }
+    this.#state.endpoints.recordHandover();
     for (const limit of message.limits) {
       this.#state.endpoints.find(limit.endpoint)?.limit.restore(limit);
     }
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -40,6 +40,8 @@
   readonly prefixes: PrefixMemory;
   readonly evidence: CrashEvidence;
   configuration: FleetConfiguration = createEmptyConfiguration();
+  /** Whether a former scheduler passed its counters on. */
+  wasHandedOver = false;
   /** The live VMs of the pool's zone. */
   ingresses: ReadonlySet<VmId> = new Set();
 
@@ -55,6 +57,7 @@
     this.endpoints = new PoolEndpoints({
       ...options,
       settings: settings.limits,
+      rebuildMilliseconds: settings.rebuildMilliseconds,
     });
     this.estimator = new CostEstimator(settings.estimates);
     this.prefixes = new PrefixMemory(settings.rememberedPrefixes);
--- a/packages/scheduling/src/pool/suspect_guard.ts
+++ b/packages/scheduling/src/pool/suspect_guard.ts
@@ -1,7 +1,12 @@
 /** Keeps requests that may crash endpoints from taking others with them. */
 
 import type { QueueEntry } from "@rattanvane/protocol";
-import { pickIdlePlacement, pickWard, type Placement } from "./placement.ts";
+import {
+  isServing,
+  pickIdlePlacement,
+  pickWard,
+  type Placement,
+} from "./placement.ts";
 import type { PoolEndpoint } from "./pool_endpoints.ts";
 import type { PoolState } from "./pool_state.ts";
 
@@ -64,7 +69,7 @@
     const most = Math.max(1, Math.floor(endpoints.size * WARD_SHARE));
     const wanted = Math.min(waitingSuspects, most);
     for (const ward of this.#wards) {
-      if (this.#wards.size > wanted || ward.closed) {
+      if (this.#wards.size > wanted || !isServing(ward)) {
         ward.isWard = false;
         this.#wards.delete(ward);
       }
--- a/packages/scheduling/src/pool/suspect_guard_test.ts
+++ b/packages/scheduling/src/pool/suspect_guard_test.ts
@@ -1,4 +1,4 @@
-import { RefusalReason } from "@rattanvane/protocol";
+import { PlacementReason, RefusalReason } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { POISON } from "./testing/fake_endpoint.ts";
@@ -69,6 +69,49 @@
     });
   }
 
+  for (const copies of [1, 20]) {
+    it(`waits for the signs of a crash in a quiet pool, ${copies} sent`, async () => {
+      const world = createWorld(["z1"], 6);
+      const first = createStubbornCaller(world, 1);
+      const later = createStubbornCaller(world, copies);
+      await world.run(20_000, () => {
+        const crashes = world.sumEndpoints((endpoint) => endpoint.crashes);
+        (crashes === 0 ? first : later)();
+      });
+      expect(world.sumEndpoints(({ crashes }) => crashes)).to.equal(2);
+    });
+  }
+
+  it("runs suspects alone, also where every endpoint is busy", async () => {
+    const world = createWorld(["z1"], 2);
+    const neighbours = createNeighbours(world);
+    await world.run(4000, neighbours);
+    const lost = [...world.findEndpoint("z1-e0").jobs.values()];
+    world.findEndpoint("z1-e0").options.downMilliseconds = 60_000;
+    world.findEndpoint("z1-e0").crash();
+    let alone = 0;
+    await world.run(10_000, () => {
+      neighbours();
+      for (const { running } of world.ingresses.values()) {
+        for (const { grant } of running.values()) {
+          if (grant.reason === PlacementReason.SuspectAlone) {
+            expect(world.findEndpoint(grant.endpoint).jobs.size).to.equal(1);
+            alone++;
+          }
+        }
+      }
+    });
+    expect(lost).to.have.lengthOf(4);
+    expect(alone).to.be.above(0);
+    const completed = new Set<string>();
+    for (const ingress of world.ingresses.values()) {
+      ingress.completed.forEach((request) => completed.add(request));
+    }
+    for (const { fingerprint } of lost) {
+      expect(completed.has(fingerprint), fingerprint).to.equal(true);
+    }
+  });
+
   it("loses two endpoints at most when it is sent in turn to every zone", async () => {
     const world = createWorld(["z1", "z2", "z3"], 2);
     const stubborn = createStubbornCaller(world, 1);
--- a/packages/scheduling/src/pool/work_reports.ts
+++ b/packages/scheduling/src/pool/work_reports.ts
@@ -77,7 +77,7 @@
   merge(from: VmId, message: WorkReportMessage): void {
     this.#releaseForgotten(from, message);
     for (const running of message.running) {
-      this.#adopt(from, running);
+      this.adopt(from, running);
     }
     for (const entry of message.waiting) {
       this.#addWaiting(entry);
@@ -113,7 +113,7 @@
   }
 
   /** Takes over an attempt that a former scheduler granted. */
-  #adopt(ingress: VmId, running: RunningAttempt): void {
+  adopt(ingress: VmId, running: RunningAttempt): void {
     const state = this.#state;
     const known = state.attempts.find(running.attempt);
     if (known !== undefined) {
@@ -123,6 +123,10 @@
     state.queue.remove(running.request);
     const estimate = state.estimate(running.organisation, 0);
     const cost = Math.max(estimate, running.cost);
+    const { fair } = state.queue;
+    const charge = state.wasHandedOver
+      ? fair.adoptCharge(running.organisation, cost)
+      : fair.charge(running.organisation, cost);
     state.endpoints.find(running.endpoint)?.limit.startAttempt(running.attempt);
     state.attempts.add({
       attempt: running.attempt,
@@ -130,7 +134,7 @@
       ingress,
       endpoint: running.endpoint,
       fingerprint: running.fingerprint,
-      charge: state.queue.fair.charge(running.organisation, cost),
+      charge,
       grantedAt: state.now,
       attemptsMade: 0,
       message: undefined,
