--- a/packages/scheduling/src/mod.ts
+++ b/packages/scheduling/src/mod.ts
@@ -1,3 +1,3 @@
 /** Ownership of pools, terms and the scheduler of a pool. */
 
-export {};
+export * from "./ownership/mod.ts";
--- /dev/null
+++ b/packages/scheduling/src/ownership/term_book.ts
@@ -0,0 +1,55 @@
+/** The highest known term of each pool. */
+
+import { Emitter } from "@rattanvane/base";
+import {
+  compareTerms,
+  formatPool,
+  type PoolId,
+  type PoolTerm,
+  type Term,
+} from "@rattanvane/protocol";
+
+/** Remembers who schedules each pool; an ingress takes grants by it. */
+export class TermBook {
+  /** Each term that was newer than what was known. */
+  readonly changes = new Emitter<PoolTerm>();
+  readonly #terms = new Map<string, PoolTerm>();
+
+  /** Takes a term; false when it is not newer than the known one. */
+  learn(poolTerm: PoolTerm): boolean {
+    const key = formatPool(poolTerm.pool);
+    const known = this.#terms.get(key);
+    if (known !== undefined && compareTerms(poolTerm.term, known.term) <= 0) {
+      return false;
+    }
+    this.#terms.set(key, poolTerm);
+    this.changes.emit(poolTerm);
+    return true;
+  }
+
+  /** Finds the highest known term of a pool. */
+  find(pool: PoolId): PoolTerm | undefined {
+    return this.#terms.get(formatPool(pool));
+  }
+
+  /** Whether no newer term of the pool is known. */
+  isCurrent(pool: PoolId, term: Term): boolean {
+    const known = this.find(pool);
+    return known === undefined || compareTerms(term, known.term) >= 0;
+  }
+
+  /** Lists the highest known terms of all pools. */
+  list(): PoolTerm[] {
+    return [...this.#terms.values()];
+  }
+
+  /** Forgets pools that are no longer in the configuration. */
+  retain(pools: readonly PoolId[]): void {
+    const kept = new Set(pools.map(formatPool));
+    for (const key of this.#terms.keys()) {
+      if (!kept.has(key)) {
+        this.#terms.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/ownership/term_book_test.ts
@@ -0,0 +1,46 @@
+import type { PoolTerm, VmId } from "@rattanvane/protocol";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { TermBook } from "./term_book.ts";
+import { createContact, createPool } from "./testing/ownership_fleet.ts";
+
+function createTerm(number: number, holder: VmId): PoolTerm {
+  return {
+    pool: createPool("captions"),
+    term: { number, holder },
+    contact: createContact(holder),
+  };
+}
+
+describe("TermBook", () => {
+  it("keeps the highest term, in whatever order terms come", () => {
+    const book = new TermBook();
+    const heard: number[] = [];
+    const { signal } = new AbortController();
+    book.changes.listen(({ term }) => heard.push(term.number), signal);
+    expect(book.learn(createTerm(2, "vm-1"))).to.equal(true);
+    expect(book.learn(createTerm(1, "vm-2"))).to.equal(false);
+    expect(book.learn(createTerm(2, "vm-0"))).to.equal(false);
+    expect(book.learn(createTerm(2, "vm-1"))).to.equal(false);
+    expect(book.learn(createTerm(2, "vm-2"))).to.equal(true);
+    expect(book.find(createPool("captions"))?.term.holder).to.equal("vm-2");
+    expect(heard).to.deep.equal([2, 2]);
+  });
+
+  it("tells grants of an older term from those of the highest", () => {
+    const book = new TermBook();
+    const pool = createPool("captions");
+    expect(book.isCurrent(pool, { number: 1, holder: "vm-1" })).to.equal(true);
+    book.learn(createTerm(2, "vm-1"));
+    expect(book.isCurrent(pool, { number: 1, holder: "vm-9" })).to.equal(false);
+    expect(book.isCurrent(pool, { number: 2, holder: "vm-1" })).to.equal(true);
+    expect(book.isCurrent(pool, { number: 3, holder: "vm-0" })).to.equal(true);
+  });
+
+  it("forgets pools that are gone", () => {
+    const book = new TermBook();
+    book.learn(createTerm(2, "vm-1"));
+    book.retain([createPool("labels")]);
+    expect(book.list()).to.deep.equal([]);
+  });
+});
