Merge ownership of pools under leases

Replaces the plain hash assignment: a pool's scheduler now holds a term, with a lease of the platform or, without the platform, as agreed in the zone. The scheduler goes on under a raised term, and without its lease, instead of starting anew (its counters keep the term of its start, so that totals go on).

--- a/packages/limits/src/endpoint_limit.ts
+++ b/packages/limits/src/endpoint_limit.ts
@@ -25,7 +25,7 @@
   readonly endpoint: EndpointId;
   readonly #settings: EndpointLimitSettings;
   readonly #clock: Clock;
-  readonly #leased: boolean;
+  #leased: boolean;
   readonly #boot = new BootTracker();
   readonly #work: OutstandingWork;
   readonly #growth: LimitGrowth;
@@ -199,6 +199,11 @@
     this.#work.removeExpiredOrphans(this.#clock.now());
   }
 
+  /** Notes whether the scheduler may take itself for the only one. */
+  updateLease(leased: boolean): void {
+    this.#leased = leased;
+  }
+
   /** Takes what a former scheduler learned, once the boot id agrees. */
   restore(state: EndpointLimitState): void {
     this.#handedOver = state;
--- a/packages/router/src/host/fleet_view.ts
+++ b/packages/router/src/host/fleet_view.ts
@@ -10,7 +10,11 @@
   type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
-import { type PoolPeers, rankVms, type TermBook } from "@rattanvane/scheduling";
+import {
+  type PoolPeers,
+  Rendezvous,
+  type TermBook,
+} from "@rattanvane/scheduling";
 import { SchedulerDirectory } from "../ingress/scheduler_directory.ts";
 import { listServicePools } from "./service_pools.ts";
 
@@ -28,6 +32,7 @@
 /** Answers which pools there are and who schedules them. */
 export class FleetView extends SchedulerDirectory {
   readonly #options: FleetViewOptions;
+  readonly #rendezvous = new Rendezvous();
 
   constructor(options: FleetViewOptions) {
     super();
@@ -52,7 +57,7 @@
       return known.term.holder;
     }
     const live = this.#options.view.listLive(pool.zone);
-    return rankVms(pool, live)[0]?.vm;
+    return this.#rendezvous.pick(pool, live)?.vm;
   }
 
   override isReachable(vm: VmId): boolean {
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -4,6 +4,7 @@
 import type { Membership } from "@rattanvane/membership";
 import type { KeyForwarder } from "@rattanvane/once";
 import { type Message, MessageKind, type VmId } from "@rattanvane/protocol";
+import type { PoolOwnership } from "@rattanvane/scheduling";
 import type { Dispatcher } from "../ingress/dispatcher.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 
@@ -12,6 +13,7 @@
   membership: Membership;
   dispatcher: Dispatcher;
   host: SchedulerHost;
+  ownership: PoolOwnership;
   peer: ConfigurationPeer;
   forwarder: KeyForwarder;
 }
@@ -26,7 +28,8 @@
 
   /** Passes a message on. */
   handle(from: VmId, message: Message): void {
-    const { membership, dispatcher, host, peer, forwarder } = this.#options;
+    const { membership, dispatcher, host, ownership, peer, forwarder } =
+      this.#options;
     switch (message.kind) {
       case MessageKind.Probe:
       case MessageKind.ProbeReply:
@@ -46,6 +49,9 @@
       case MessageKind.RunKey:
       case MessageKind.KeyResult:
         return forwarder.handle(message, from);
+      case MessageKind.Handover:
+        ownership.handleHandover(message.pool);
+        return host.handle(from, message);
       default:
         return host.handle(from, message);
     }
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -28,7 +28,9 @@
 import { HttpEndpointClient } from "@rattanvane/platform";
 import { PeerNetwork, type VmContact } from "@rattanvane/protocol";
 import {
+  DEFAULT_OWNERSHIP_SETTINGS,
   DEFAULT_POOL_SCHEDULER_SETTINGS,
+  PoolOwnership,
   TermBook,
 } from "@rattanvane/scheduling";
 import type { RouterSettings } from "@rattanvane/settings";
@@ -44,6 +46,8 @@
   createPlatformClients,
   type PlatformClients,
 } from "./host/platform_clients.ts";
+import { PoolRoles } from "./host/pool_roles.ts";
+import { listZonePools } from "./host/service_pools.ts";
 import { RouterGossip } from "./host/router_gossip.ts";
 import { RouterState } from "./host/router_state.ts";
 import { SchedulerHost } from "./host/scheduler_host.ts";
@@ -90,6 +94,7 @@
   readonly membership: Membership;
   readonly view: FleetView;
   readonly host: SchedulerHost;
+  readonly ownership: PoolOwnership;
   readonly dispatcher: Dispatcher;
   readonly metrics: RouterMetrics;
   readonly keyedCalls: KeyedCalls;
@@ -128,6 +133,7 @@
     this.watcher = this.#createWatcher();
     this.view = this.#createView();
     this.host = this.#createHost();
+    this.ownership = this.#createOwnership();
     this.dispatcher = new Dispatcher({
       self: settings.vm,
       ledger: this.ledger,
@@ -271,6 +277,29 @@
     });
   }
 
+  #createOwnership(): PoolOwnership {
+    const { settings, clock, logger } = this.#options;
+    return new PoolOwnership({
+      self: this.self,
+      zone: this.membership,
+      table: this.platform.table,
+      terms: this.terms,
+      clock,
+      random: this.random,
+      logger: logger.forPart("ownership"),
+      settings: {
+        ...DEFAULT_OWNERSHIP_SETTINGS,
+        leaseMilliseconds: settings.scheduling.leaseMilliseconds,
+      },
+      listener: new PoolRoles({
+        host: this.host,
+        logger: logger.forPart("ownership"),
+      }, this.#signal),
+      listPools: () => listZonePools(settings.zone, this.findConfiguration()),
+      announce: (term) => this.membership.announceTerm(term),
+    });
+  }
+
   #createMetrics(): RouterMetrics {
     const { traffic } = this.network;
     const countPools = (unleasedOnly: boolean) =>
@@ -382,11 +411,6 @@
     });
   }
 
-  /** The logger of the scheduler's decisions. */
-  get logger(): Logger {
-    return this.#options.logger.forPart("scheduler");
-  }
-
   /** Describes the fleet as this VM sees it. */
   describeStatus(): object {
     const { settings } = this.#options;
--- a/packages/scheduling/src/pool/counter_exchange.ts
+++ b/packages/scheduling/src/pool/counter_exchange.ts
@@ -5,6 +5,7 @@
   type CounterDeltaMessage,
   formatPool,
   MessageKind,
+  type Term,
   type VmId,
 } from "@rattanvane/protocol";
 import type { PoolState } from "./pool_state.ts";
@@ -15,6 +16,8 @@
   readonly #state: PoolState;
   readonly #siblings: Siblings;
   readonly #remote = new RemoteTotals();
+  /** The term of the start: totals go on when the term is raised. */
+  readonly #term: Term;
   #sequence = 0;
   #sentAt = -Infinity;
   #sentWaiting = 0;
@@ -23,6 +26,7 @@
   constructor(state: PoolState, siblings: Siblings) {
     this.#state = state;
     this.#siblings = siblings;
+    this.#term = state.options.term;
   }
 
   /** Sends what changed, once a period has passed. */
@@ -110,7 +114,7 @@
       kind: MessageKind.CounterDelta,
       service: options.pool.service,
       pool: options.pool,
-      term: options.term,
+      term: this.#term,
       sequence: this.#sequence,
       totals,
       virtualTime: queue.fair.virtualTime,
--- a/packages/scheduling/src/pool/pool_endpoints.ts
+++ b/packages/scheduling/src/pool/pool_endpoints.ts
@@ -46,14 +46,24 @@
   readonly #options: PoolEndpointsOptions;
   readonly #endpoints = new Map<EndpointId, PoolEndpoint>();
   readonly #startedAt: number;
+  #leased: boolean;
   #rebuilding = true;
   #isRunningKnown = false;
 
   constructor(options: PoolEndpointsOptions) {
     this.#options = options;
+    this.#leased = options.leased;
     this.#startedAt = options.clock.now();
   }
 
+  /** Notes whether the pool's lease is held. */
+  updateLease(leased: boolean): void {
+    this.#leased = leased;
+    for (const { limit } of this.#endpoints.values()) {
+      limit.updateLease(leased);
+    }
+  }
+
   /** Ends the time in which attempts may run that are not known yet. */
   stopRebuilding(): void {
     this.#rebuilding = false;
@@ -199,6 +209,7 @@
     }
     const limit = new EndpointLimit({
       ...this.#options,
+      leased: this.#leased,
       ...bounds,
       endpoint: endpoint.name,
     });
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -9,6 +9,7 @@
   MessageKind,
   RefusalReason,
   type SchedulerMessage,
+  type Term,
   type VmId,
 } from "@rattanvane/protocol";
 import { AttemptEnds } from "./attempt_ends.ts";
@@ -93,6 +94,12 @@
     this.#grantAndOffer();
   }
 
+  /** Goes on under a raised term, or with or without its lease. */
+  updateTerm(term: Term, options: { leased: boolean }): void {
+    this.#state.updateTerm(term, options);
+    this.#grantAndOffer();
+  }
+
   /** Takes in endpoints, drains, weights and queue limits. */
   updateConfiguration(configuration: FleetConfiguration): void {
     this.#state.configuration = configuration;
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -32,7 +32,7 @@
 
 /** The queue, the endpoints and the attempts of one pool. */
 export class PoolState {
-  readonly options: PoolSchedulerOptions;
+  options: PoolSchedulerOptions;
   readonly queue: PoolQueue;
   readonly endpoints: PoolEndpoints;
   readonly attempts = new AttemptTable();
@@ -64,6 +64,12 @@
     this.evidence = new CrashEvidence(options.suspects);
   }
 
+  /** Goes on under another term, or with or without its lease. */
+  updateTerm(term: Term, { leased }: { leased: boolean }): void {
+    this.options = { ...this.options, term, leased };
+    this.endpoints.updateLease(leased);
+  }
+
   /** The clock's present time. */
   get now(): number {
     return this.options.clock.now();
