Report costs in batches, and only what the scheduler does not know

Cause: one message an attempt a second is 226 messages a second a VM at 1.2 million tokens a second, far above 16 KB a second. Ruled out: a longer period alone (a flood of short-looking requests would go uncharged for as long). Change: the grant says what was charged; the ingress reports only attempts that have cost an eighth more than the scheduler knows, or gave no sign of life for ten seconds, one message a pool and second. A repeated grant carries the present term.

--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -83,6 +83,8 @@
   "path",
   "headers",
   "status",
+  "attempts",
+  "chargedCost",
 ];
 
 /** Builds the map of names to numbers. */
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -56,6 +56,8 @@
   request: RequestId;
   attempt: AttemptId;
   endpoint: EndpointId;
+  /** What the organisation is charged until the attempt has cost more. */
+  chargedCost: number;
   /** Why this endpoint was chosen; for the log line of the decision. */
   reason: PlacementReason;
 }
@@ -94,15 +96,21 @@
   retryAfterMilliseconds: number;
 }
 
-/** Reports cost that a running attempt has used so far. */
-export interface ProgressMessage {
-  kind: MessageKind.Progress;
-  pool: PoolId;
+/** What a running attempt has cost so far. */
+export interface AttemptCost {
   attempt: AttemptId;
   /** All cost units of the attempt so far. */
   cost: number;
 }
 
+/** Reports the costs of an ingress's running attempts in a pool. */
+export interface ProgressMessage {
+  kind: MessageKind.Progress;
+  pool: PoolId;
+  /** The attempts whose cost has changed. */
+  attempts: AttemptCost[];
+}
+
 /** How an attempt ended, as the ingress saw it. */
 export enum AttemptOutcome {
   Completed = "completed",
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -7,6 +7,7 @@
   type Logger,
 } from "@rattanvane/base";
 import {
+  type AttemptCost,
   type AttemptOutcome,
   type EntryMovedMessage,
   formatPool,
@@ -24,6 +25,7 @@
 import type { CallLedger } from "./call_ledger.ts";
 import {
   CallPhase,
+  type CurrentAttempt,
   type GrantAnswer,
   type LedgerEntry,
 } from "./ledger_entry.ts";
@@ -34,6 +36,17 @@
 const PROGRESS_MILLISECONDS = 1_000;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
+/** A cost is news when it exceeds what the scheduler knows by this factor. */
+const NEWS_FACTOR = 1.125;
+
+/** A sign of life, also while an attempt costs no more than estimated. */
+const LIFE_SIGN_MILLISECONDS = 10_000;
+
+interface ProgressBatch {
+  pool: PoolId;
+  attempts: AttemptCost[];
+}
+
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
   self: VmId;
@@ -56,7 +69,6 @@
 /** Speaks to the schedulers for the requests in the ledger. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  readonly #reportedCosts = new Map<string, number>();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -99,7 +111,6 @@
     entry.current = undefined;
     entry.phase = CallPhase.Idle;
     entry.pool = undefined;
-    this.#reportedCosts.delete(current.attempt);
     const scheduler = this.#options.directory.findScheduler(current.pool);
     if (scheduler === undefined) {
       return;
@@ -277,6 +288,8 @@
       endpoint: grant.endpoint,
       pool: grant.pool,
       cost: 0,
+      reportedCost: grant.chargedCost,
+      reportedAt: this.#options.clock.now(),
     };
     this.#log(entry, "was granted an endpoint", {
       attempt: grant.attempt,
@@ -359,24 +372,33 @@
     }
   }
 
+  /** Tells each scheduler what its running attempts have cost. */
   #reportProgress(): void {
-    const { ledger, directory, sender } = this.#options;
+    const { ledger, clock } = this.#options;
+    const now = clock.now();
+    const batches = new Map<string, ProgressBatch>();
     for (const { current } of ledger.listPhase(CallPhase.Running)) {
-      if (current === undefined) {
-        continue;
-      }
-      const reported = this.#reportedCosts.get(current.attempt) ?? 0;
-      const scheduler = directory.findScheduler(current.pool);
-      if (current.cost === reported || scheduler === undefined) {
+      if (current === undefined || !isNews(current, now)) {
         continue;
       }
-      this.#reportedCosts.set(current.attempt, current.cost);
-      sender.send(scheduler, {
-        kind: MessageKind.Progress,
-        pool: current.pool,
-        attempt: current.attempt,
-        cost: current.cost,
-      });
+      const key = formatPool(current.pool);
+      const batch = batches.get(key) ?? { pool: current.pool, attempts: [] };
+      batches.set(key, batch);
+      const { attempt, cost } = current;
+      batch.attempts.push({ attempt, cost });
+      current.reportedCost = Math.max(cost, current.reportedCost);
+      current.reportedAt = now;
+    }
+    for (const batch of batches.values()) {
+      this.#sendProgress(batch);
+    }
+  }
+
+  #sendProgress({ pool, attempts }: ProgressBatch): void {
+    const { directory, sender } = this.#options;
+    const scheduler = directory.findScheduler(pool);
+    if (scheduler !== undefined) {
+      sender.send(scheduler, { kind: MessageKind.Progress, pool, attempts });
     }
   }
 
@@ -393,3 +415,9 @@
     });
   }
 }
+
+/** Whether a scheduler should hear of an attempt's cost. */
+function isNews(current: CurrentAttempt, now: number): boolean {
+  const exceeds = current.cost > current.reportedCost * NEWS_FACTOR;
+  return exceeds || now - current.reportedAt >= LIFE_SIGN_MILLISECONDS;
+}
--- a/packages/router/src/ingress/dispatcher_test.ts
+++ b/packages/router/src/ingress/dispatcher_test.ts
@@ -12,6 +12,7 @@
 } from "../testing/fixtures.ts";
 
 const SWEEP_MILLISECONDS = 500;
+const PROGRESS_MILLISECONDS = 2_000;
 
 describe("Dispatcher", () => {
   let lifetime: AbortController;
@@ -113,6 +114,32 @@
     ]);
   });
 
+  it("reports costs that exceed the estimate, in one message", async () => {
+    const { dispatcher, sender, clock } = ingress;
+    void dispatcher.run(lifetime.signal);
+    const costs = [50, 150, 200];
+    for (const [index, cost] of costs.entries()) {
+      const request = `request-${index}`;
+      const entry = createEntry(ingress, { request });
+      const granted = dispatcher.waitForGrant(entry, lifetime.signal);
+      dispatcher.handle(
+        SCHEDULER,
+        createGrant({ request, attempt: `attempt-${index}` }),
+      );
+      await granted;
+      if (entry.current !== undefined) {
+        entry.current.cost = cost;
+      }
+    }
+    await clock.advance(PROGRESS_MILLISECONDS);
+    await clock.advance(PROGRESS_MILLISECONDS);
+    const reports = sender.list(MessageKind.Progress);
+    expect(reports.map((report) => report.attempts)).to.deep.equal([[
+      { attempt: "attempt-1", cost: 150 },
+      { attempt: "attempt-2", cost: 200 },
+    ]]);
+  });
+
   it("follows an entry that was moved to another zone", async () => {
     const { dispatcher, sender } = ingress;
     const entry = createEntry(ingress);
--- a/packages/router/src/ingress/ledger_entry.ts
+++ b/packages/router/src/ingress/ledger_entry.ts
@@ -28,6 +28,10 @@
   pool: PoolId;
   /** Cost units so far. */
   cost: number;
+  /** The cost units that the scheduler knows of, or has estimated. */
+  reportedCost: number;
+  /** When the scheduler was last told; on the monotonic clock. */
+  reportedAt: number;
 }
 
 /** What ends a wait for a grant. */
--- a/packages/router/src/ingress/resume_handler.ts
+++ b/packages/router/src/ingress/resume_handler.ts
@@ -78,6 +78,8 @@
         endpoint: endpoint.name,
         pool: entry.pool,
         cost: 0,
+        reportedCost: 0,
+        reportedAt: clock.now(),
       };
       environment.dispatcher.followTerm(entry.pool);
       const run = new CompletionRun({ environment, entry, request, sink });
--- a/packages/router/src/testing/fixtures.ts
+++ b/packages/router/src/testing/fixtures.ts
@@ -187,6 +187,7 @@
     request: options.request ?? "request-1",
     attempt: options.attempt ?? "attempt-1",
     endpoint: options.endpoint ?? "engine-1",
+    chargedCost: 100,
     reason: PlacementReason.LeastLoaded,
   };
 }
--- a/packages/scheduling/src/pool/attempt_ends.ts
+++ b/packages/scheduling/src/pool/attempt_ends.ts
@@ -2,6 +2,7 @@
 
 import { EndpointNews } from "@rattanvane/limits";
 import {
+  type AttemptCost,
   AttemptOutcome,
   type EndpointId,
   type FinishMessage,
@@ -30,12 +31,18 @@
 
   /** Charges what an attempt has cost beyond its estimate. */
   applyProgress(message: ProgressMessage): void {
-    const grant = this.#state.attempts.find(message.attempt);
+    for (const progress of message.attempts) {
+      this.#recordProgress(progress);
+    }
+  }
+
+  #recordProgress(progress: AttemptCost): void {
+    const grant = this.#state.attempts.find(progress.attempt);
     if (grant === undefined) {
       return;
     }
     grant.lastNewsAt = this.#state.now;
-    const cost = Math.max(grant.charge.amount, message.cost);
+    const cost = Math.max(grant.charge.amount, progress.cost);
     this.#state.queue.fair.updateCharge(grant.charge, cost);
     this.#state.endpoints.find(grant.endpoint)?.limit.recordProgress();
   }
--- a/packages/scheduling/src/pool/granter.ts
+++ b/packages/scheduling/src/pool/granter.ts
@@ -59,7 +59,9 @@
 
   /** Sends a grant again that its ingress does not know of. */
   resend(message: GrantMessage, ingress: string): void {
-    this.#state.options.sender.send(ingress, message);
+    // The term may have been raised since; the ingress takes only the newest.
+    const { sender, term } = this.#state.options;
+    sender.send(ingress, { ...message, term });
   }
 
   /** Runs suspects alone, and finds out what became of the others. */
@@ -140,6 +142,7 @@
       request: entry.request,
       attempt,
       endpoint: endpoint.name,
+      chargedCost: this.#state.estimate(entry.organisation, entry.hintedCost),
       reason,
     };
     this.#recordGrant(waiting, message);
@@ -154,7 +157,6 @@
     const state = this.#state;
     const { entry } = waiting;
     const { organisation } = entry;
-    const estimate = state.estimate(organisation, entry.hintedCost);
     state.endpoints.find(message.endpoint)?.limit.startAttempt(message.attempt);
     state.prefixes.add(message.endpoint, entry.prefix);
     state.attempts.add({
@@ -163,7 +165,7 @@
       ingress: entry.ingress,
       endpoint: message.endpoint,
       fingerprint: entry.fingerprint,
-      charge: state.queue.fair.charge(organisation, estimate),
+      charge: state.queue.fair.charge(organisation, message.chargedCost),
       grantedAt: state.now,
       attemptsMade: entry.attemptsMade,
       message,
--- a/packages/scheduling/src/pool/testing/fake_ingress.ts
+++ b/packages/scheduling/src/pool/testing/fake_ingress.ts
@@ -78,8 +78,7 @@
       this.options.send(scheduler, {
         kind: MessageKind.Progress,
         pool: grant.pool,
-        attempt: grant.attempt,
-        cost: job.done,
+        attempts: [{ attempt: grant.attempt, cost: job.done }],
       });
     }
   }
