--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -4,6 +4,7 @@
 import type { Membership } from "@rattanvane/membership";
 import type { CollectedRowWriter, KeyForwarder } from "@rattanvane/once";
 import { type Message, MessageKind, type VmId } from "@rattanvane/protocol";
+import type { PoolOwnership } from "@rattanvane/scheduling";
 import type { Dispatcher } from "../ingress/dispatcher.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 
@@ -12,6 +13,7 @@
   membership: Membership;
   dispatcher: Dispatcher;
   host: SchedulerHost;
+  ownership: PoolOwnership;
   peer: ConfigurationPeer;
   forwarder: KeyForwarder;
   rowWriter: CollectedRowWriter;
@@ -27,7 +29,7 @@
 
   /** Passes a message on. */
   handle(from: VmId, message: Message): void {
-    const { membership, dispatcher, host, peer } = this.#options;
+    const { membership, dispatcher, host, ownership, peer } = this.#options;
     const { forwarder, rowWriter } = this.#options;
     switch (message.kind) {
       case MessageKind.Probe:
@@ -51,6 +53,9 @@
       case MessageKind.WriteRow:
       case MessageKind.RowResult:
         return rowWriter.handle(message, from);
+      case MessageKind.Handover:
+        ownership.handleHandover(message.pool);
+        return host.handle(from, message);
       default:
         return host.handle(from, message);
     }
--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -11,6 +11,7 @@
 import type { SuspectRegistry } from "@rattanvane/limits";
 import {
   formatPool,
+  type HandoverMessage,
   MessageKind,
   type MessageSender,
   type PoolId,
@@ -45,6 +46,15 @@
   findTerm: (pool: PoolId) => Term | undefined;
 }
 
+/** How long the state of a pool is kept for a scheduler to come. */
+const HANDOVER_MILLISECONDS = 10_000;
+
+interface KeptHandover {
+  from: VmId;
+  message: HandoverMessage;
+  receivedAt: number;
+}
+
 interface HostedScheduler {
   pool: PoolId;
   scheduler: PoolScheduler;
@@ -55,6 +65,8 @@
 export class SchedulerHost {
   readonly #options: SchedulerHostOptions;
   readonly #hosted = new Map<string, HostedScheduler>();
+  /** What former schedulers passed on before the pool was taken here. */
+  readonly #handovers = new Map<string, KeptHandover>();
 
   constructor(options: SchedulerHostOptions) {
     this.#options = options;
@@ -86,6 +98,7 @@
       scheduler.updateConfiguration(configuration);
     }
     scheduler.updatePeers(findPeers(pool));
+    this.#applyHandover(pool, scheduler);
     scheduler.run(lifetime.signal).catch((thrown) => {
       this.#options.logger.error("a pool's scheduler failed", {
         pool: formatPool(pool),
@@ -96,6 +109,12 @@
     void poller.run(pool, { scheduler, findConfiguration }, lifetime.signal);
   }
 
+  /** Goes on with a pool under another term, or with or without its lease. */
+  updateTerm(pool: PoolId, options: { term: Term; leased: boolean }): void {
+    const hosted = this.#hosted.get(formatPool(pool));
+    hosted?.scheduler.updateTerm(options.term, options);
+  }
+
   /** Ends the scheduler of a pool, if this VM runs it. */
   stop(pool: PoolId): void {
     const key = formatPool(pool);
@@ -103,11 +122,6 @@
     this.#hosted.delete(key);
   }
 
-  /** Whether this VM runs the scheduler of a pool. */
-  isHosting(pool: PoolId): boolean {
-    return this.#hosted.has(formatPool(pool));
-  }
-
   /** Passes a pool on to its next scheduler. */
   handOver(pool: PoolId, to: VmId): void {
     this.#hosted.get(formatPool(pool))?.scheduler.handOver(to);
@@ -121,6 +135,10 @@
       hosted.scheduler.handle(from, message);
       return;
     }
+    if (message.kind === MessageKind.Handover) {
+      const receivedAt = this.#options.clock.now();
+      this.#handovers.set(formatPool(pool), { from, message, receivedAt });
+    }
     if (message.kind === MessageKind.Enqueue) {
       this.#answerNotScheduler(from, { pool, request: message.entry.request });
     }
@@ -140,6 +158,16 @@
     }
   }
 
+  /** Drops what a VM had before it restarted, then takes it in again. */
+  replaceIngress(vm: VmId): void {
+    for (const { pool, scheduler } of this.#hosted.values()) {
+      const peers = this.#options.findPeers(pool);
+      const ingresses = peers.ingresses.filter((ingress) => ingress !== vm);
+      scheduler.updatePeers({ ...peers, ingresses });
+      scheduler.updatePeers(peers);
+    }
+  }
+
   /** Describes all pools that this VM schedules. */
   describeStatus(): PoolStatus[] {
     return [...this.#hosted.values()].map(({ scheduler }) =>
@@ -147,6 +175,19 @@
     );
   }
 
+  #applyHandover(pool: PoolId, scheduler: PoolScheduler): void {
+    const key = formatPool(pool);
+    const kept = this.#handovers.get(key);
+    this.#handovers.delete(key);
+    if (kept === undefined) {
+      return;
+    }
+    const age = this.#options.clock.now() - kept.receivedAt;
+    if (age <= HANDOVER_MILLISECONDS) {
+      scheduler.handle(kept.from, kept.message);
+    }
+  }
+
   #findAddressee(message: SchedulerMessage): PoolId {
     switch (message.kind) {
       case MessageKind.CounterDelta:
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,7 +11,6 @@
 import { waitUntilJoined } from "@rattanvane/configuration";
 import { MembershipChangeKind } from "@rattanvane/membership";
 import type { RouterSettings } from "@rattanvane/settings";
-import { runHashedRoles } from "./host/hashed_roles.ts";
 import { RouterPhase } from "./host/router_state.ts";
 import { runVmListReader } from "./host/vm_list_reader.ts";
 import { RouterParts } from "./router_parts.ts";
@@ -94,10 +93,7 @@
         logger: this.#logger.forPart("membership"),
       }, signal),
     );
-    this.#runTask(
-      "pool roles",
-      runHashedRoles(this.#parts, this.#clock, signal),
-    );
+    this.#runTask("pool ownership", this.#parts.ownership.run(signal));
     this.#logger.info("listens", {
       vm: this.#settings.vm,
       zone: this.#settings.zone,
@@ -118,7 +114,9 @@
     }, signal);
     terms.changes.listen((term) => {
       network.learnContact(term.contact);
-      membership.announceTerm(term);
+      if (term.term.holder !== this.#settings.vm) {
+        host.stop(term.pool);
+      }
       dispatcher.followTerm(term.pool);
       host.updatePeers();
     }, signal);
@@ -126,6 +124,9 @@
       if (change.kind !== MembershipChangeKind.Died) {
         network.learnContact(change.contact);
       }
+      if (change.kind === MembershipChangeKind.Renewed) {
+        host.replaceIngress(change.contact.vm);
+      }
       host.updatePeers();
     }, signal);
     for (const peer of this.#settings.peers) {
@@ -149,12 +150,13 @@
   }
 
   async #leave(): Promise<void> {
-    const { state, membership, server, keyedCalls } = this.#parts;
+    const { state, membership, server, keyedCalls, ownership } = this.#parts;
     const { shutdown } = this.#settings;
     const endsAt = this.#clock.now() + shutdown.longestMilliseconds;
     this.#logger.info("leaves the fleet", { active: server.active });
     state.phase = RouterPhase.Leaving;
     membership.announceLeave();
+    await ownership.handOverAll(this.#lifetime.signal);
     server.stopAccepting();
     while (server.active > 0 && this.#clock.now() < endsAt) {
       await this.#clock.sleep(DRAIN_STEP_MILLISECONDS, this.#lifetime.signal);
--- a/packages/scheduling/src/pool/granter.ts
+++ b/packages/scheduling/src/pool/granter.ts
@@ -17,11 +17,16 @@
 /** How many of the entries that are set aside are looked at in one go. */
 const ASIDE_LOOK_AHEAD = 32;
 
+/** Keeps the time of the start short in attempt ids. */
+const START_RADIX = 36;
+
 /** Matches entries to endpoints: fairness chooses who, placement where. */
 export class Granter {
   readonly #state: PoolState;
   readonly #refuser: Refuser;
   readonly #guard: SuspectGuard;
+  /** Keeps attempts apart from those before a restart of the process. */
+  readonly #startedAt: string;
   #nextAttempt = 1;
   #placement: Placement | undefined;
   #outOfTurn: WaitingEntry[] = [];
@@ -33,6 +38,8 @@
     this.#state = state;
     this.#refuser = parts.refuser;
     this.#guard = parts.guard;
+    const startedAt = Math.floor(state.options.clock.wallTime());
+    this.#startedAt = startedAt.toString(START_RADIX);
   }
 
   /** Grants until nothing waits or nothing has room. */
@@ -165,8 +172,9 @@
   }
 
   #createAttemptId(): AttemptId {
-    const { self, term, pool } = this.#state.options;
-    return `${pool.service}.${self}.${term.number}.${this.#nextAttempt++}`;
+    const { self, pool } = this.#state.options;
+    const number = this.#nextAttempt++;
+    return `${pool.service}.${self}.${this.#startedAt}.${number}`;
   }
 
   #logGrant(waiting: WaitingEntry, message: GrantMessage): void {
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -9,6 +9,7 @@
   MessageKind,
   RefusalReason,
   type SchedulerMessage,
+  type Term,
   type VmId,
 } from "@rattanvane/protocol";
 import { AttemptEnds } from "./attempt_ends.ts";
@@ -93,6 +94,12 @@
     this.#grantAndOffer();
   }
 
+  /** Goes on under a raised term, or with or without its lease. */
+  updateTerm(term: Term, options: { leased: boolean }): void {
+    this.#state.updateTerm(term, options);
+    this.#grantAndOffer();
+  }
+
   /** Takes in endpoints, drains, weights and queue limits. */
   updateConfiguration(configuration: FleetConfiguration): void {
     this.#state.configuration = configuration;
@@ -147,17 +154,14 @@
     const { sender, pool, term, logger } = this.#state.options;
     const { fair } = this.#state.queue;
     this.#isRetired = true;
-    const limits = [];
-    for (const { limit } of this.#state.endpoints.list()) {
-      limits.push(limit.describeState());
-    }
     sender.send(to, {
       kind: MessageKind.Handover,
       pool,
       term,
       virtualTime: fair.virtualTime,
       counters: fair.listCounters(),
-      limits,
+      limits: this.#state.endpoints.listLimits(),
+      running: this.#state.attempts.listHanded(),
     });
     logger.info("handed the pool over", {
       service: pool.service,
@@ -228,10 +232,15 @@
 
   #applyHandover(message: HandoverMessage): void {
     const { fair } = this.#state.queue;
+    this.#state.wasHandedOver = true;
     fair.shiftCounters(Math.max(0, message.virtualTime - fair.virtualTime));
     for (const { organisation, virtual } of message.counters) {
       fair.restoreCounter(organisation, virtual);
     }
+    for (const running of message.running) {
+      this.#reports.adopt(running.ingress, running);
+    }
+    this.#state.endpoints.recordHandover();
     for (const limit of message.limits) {
       this.#state.endpoints.find(limit.endpoint)?.limit.restore(limit);
     }
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -32,7 +32,7 @@
 
 /** The queue, the endpoints and the attempts of one pool. */
 export class PoolState {
-  readonly options: PoolSchedulerOptions;
+  options: PoolSchedulerOptions;
   readonly queue: PoolQueue;
   readonly endpoints: PoolEndpoints;
   readonly attempts = new AttemptTable();
@@ -40,6 +40,8 @@
   readonly prefixes: PrefixMemory;
   readonly evidence: CrashEvidence;
   configuration: FleetConfiguration = createEmptyConfiguration();
+  /** Whether a former scheduler passed its counters on. */
+  wasHandedOver = false;
   /** The live VMs of the pool's zone. */
   ingresses: ReadonlySet<VmId> = new Set();
 
@@ -55,12 +57,19 @@
     this.endpoints = new PoolEndpoints({
       ...options,
       settings: settings.limits,
+      rebuildMilliseconds: settings.rebuildMilliseconds,
     });
     this.estimator = new CostEstimator(settings.estimates);
     this.prefixes = new PrefixMemory(settings.rememberedPrefixes);
     this.evidence = new CrashEvidence(options.suspects);
   }
 
+  /** Goes on under another term, or with or without its lease. */
+  updateTerm(term: Term, { leased }: { leased: boolean }): void {
+    this.options = { ...this.options, term, leased };
+    this.endpoints.updateLease(leased);
+  }
+
   /** The clock's present time. */
   get now(): number {
     return this.options.clock.now();
