Notice frozen peers and swallowed frames within seconds

Cause: a link to a peer that is frozen, or behind a network that swallows packets, stayed up for as long as TCP retries; requests that waited at such a scheduler were not sent elsewhere. Also a dead VM counted as reachable while membership remembered its address. Ruled out: TCP keep-alive (Node sets only its first delay). Change: listeners acknowledge frames, 250 ms together, under a seal of their own; a link without acknowledgements for 2 s is dropped; the dead are remembered. Costs are reported by a class of their own.

--- a/packages/protocol/src/handshake.ts
+++ b/packages/protocol/src/handshake.ts
@@ -25,7 +25,10 @@
   KeyId = "key id",
   DialerProof = "dialer proof",
   ListenerProof = "listener proof",
+  /** Frames from the dialer. */
   Session = "session",
+  /** Frames from the listener. */
+  Acknowledgement = "acknowledgement",
 }
 
 interface DialerHello {
@@ -49,13 +52,19 @@
 /** What a dialer knows after the handshake. */
 export interface DialedSession {
   listener: VmId;
+  /** Seals the dialer's frames. */
   seal: FrameSeal;
+  /** Seals the listener's acknowledgements. */
+  acknowledgementSeal: FrameSeal;
 }
 
 /** What a listener knows after the handshake. */
 export interface AcceptedSession {
   dialer: VmContact;
+  /** Seals the dialer's frames. */
   seal: FrameSeal;
+  /** Seals the listener's acknowledgements. */
+  acknowledgementSeal: FrameSeal;
 }
 
 /** Performs the dialer's side; throws a ProtocolError. */
@@ -83,7 +92,7 @@
     proof: computeMac(fleetKey, Purpose.DialerProof, transcript),
   };
   await socket.write(encodeValue(proof));
-  return { listener: answer.vm, seal: createSeal(fleetKey, transcript) };
+  return { listener: answer.vm, ...createSeals(fleetKey, transcript) };
 }
 
 /** Performs the listener's side; throws a ProtocolError. */
@@ -108,7 +117,7 @@
     closing.proof,
     computeMac(fleetKey, Purpose.DialerProof, transcript),
   );
-  return { dialer: hello.contact, seal: createSeal(fleetKey, transcript) };
+  return { dialer: hello.contact, ...createSeals(fleetKey, transcript) };
 }
 
 async function readHello<Hello extends object>(
@@ -188,8 +197,18 @@
   ]);
 }
 
-function createSeal(fleetKey: string, transcript: Uint8Array): FrameSeal {
-  return new FrameSeal(computeMac(fleetKey, Purpose.Session, transcript));
+interface SessionSeals {
+  seal: FrameSeal;
+  acknowledgementSeal: FrameSeal;
+}
+
+function createSeals(fleetKey: string, transcript: Uint8Array): SessionSeals {
+  const deriveSeal = (purpose: Purpose) =>
+    new FrameSeal(computeMac(fleetKey, purpose, transcript));
+  return {
+    seal: deriveSeal(Purpose.Session),
+    acknowledgementSeal: deriveSeal(Purpose.Acknowledgement),
+  };
 }
 
 function computeMac(
--- a/packages/protocol/src/incoming_connection.ts
+++ b/packages/protocol/src/incoming_connection.ts
@@ -2,11 +2,13 @@
 
 import type { Socket } from "node:net";
 import {
+  ChildAbort,
   type Clock,
   describeError,
   type Logger,
   runWithDeadline,
 } from "@rattanvane/base";
+import { AcknowledgementWriter } from "./acknowledgements.ts";
 import { decodeMessage } from "./codec.ts";
 import { MAXIMUM_FRAME_BYTES } from "./frame.ts";
 import { FramedSocket } from "./framed_socket.ts";
@@ -39,20 +41,19 @@
   signal: AbortSignal,
 ): Promise<void> {
   const framed = new FramedSocket(socket, HANDSHAKE_FRAME_BYTES);
-  const stop = () => framed.close();
-  signal.addEventListener("abort", stop, { once: true });
+  const lifetime = new ChildAbort(signal);
+  lifetime.signal.addEventListener("abort", () => framed.close());
   try {
     const session = await runTimedHandshake(framed, options, signal);
     options.accept(session.dialer);
-    await readMessages(framed, session, options);
+    await readMessages({ framed, session }, options, lifetime.signal);
   } catch (thrown) {
     options.logger.debug("closed a connection", {
       address: socket.remoteAddress,
       reason: describeError(thrown),
     });
   } finally {
-    signal.removeEventListener("abort", stop);
-    framed.close();
+    lifetime.abort();
   }
 }
 
@@ -75,16 +76,24 @@
 }
 
 async function readMessages(
-  framed: FramedSocket,
-  session: AcceptedSession,
+  connection: { framed: FramedSocket; session: AcceptedSession },
   options: IncomingOptions,
+  signal: AbortSignal,
 ): Promise<void> {
+  const { framed, session } = connection;
+  const acknowledgements = new AcknowledgementWriter({
+    socket: framed,
+    seal: session.acknowledgementSeal,
+    clock: options.clock,
+    logger: options.logger,
+  }, signal);
   for (;;) {
     const frame = await framed.read();
     if (frame === undefined) {
       return;
     }
     options.countReceived(frame.length);
+    acknowledgements.countFrame();
     const message = decodeMessage(session.seal.open(frame));
     if (message.isErr()) {
       throw message.error;
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -11,11 +11,15 @@
   type RandomSource,
   runWithDeadline,
 } from "@rattanvane/base";
+import { AcknowledgementReader } from "./acknowledgements.ts";
 import { encodeMessage } from "./codec.ts";
 import { MAXIMUM_FRAME_BYTES } from "./frame.ts";
-import type { FrameSeal } from "./frame_seal.ts";
 import { FramedSocket } from "./framed_socket.ts";
-import { HANDSHAKE_FRAME_BYTES, runDialerHandshake } from "./handshake.ts";
+import {
+  type DialedSession,
+  HANDSHAKE_FRAME_BYTES,
+  runDialerHandshake,
+} from "./handshake.ts";
 import type { VmContact } from "./identifiers.ts";
 import type { Message } from "./messages.ts";
 import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
@@ -42,7 +46,7 @@
 
 interface OpenConnection {
   socket: FramedSocket;
-  seal: FrameSeal;
+  session: DialedSession;
 }
 
 /** Dials a peer when there is something to send, and again when it breaks. */
@@ -144,7 +148,7 @@
       );
       this.#checkListener(session.listener);
       framed.setMaximumFrame(MAXIMUM_FRAME_BYTES);
-      return { socket: framed, seal: session.seal };
+      return { socket: framed, session };
     } catch (thrown) {
       framed.close();
       logger.debug("could not connect to a peer", {
@@ -168,8 +172,15 @@
     connection: OpenConnection,
     signal: AbortSignal,
   ): Promise<void> {
-    const { socket, seal } = connection;
-    this.#watchClose(socket);
+    const { socket, session } = connection;
+    const { clock, logger } = this.#environment;
+    const acknowledgements = new AcknowledgementReader({
+      socket,
+      seal: session.acknowledgementSeal,
+      clock,
+      logger,
+    });
+    void this.#watchClose(acknowledgements, signal);
     try {
       while (!signal.aborted && !socket.closed) {
         const payload = this.#queue.shift();
@@ -178,7 +189,8 @@
           continue;
         }
         this.#queuedBytes -= payload.length;
-        const sealed = seal.seal(payload);
+        const sealed = session.seal.seal(payload);
+        acknowledgements.countFrame();
         await socket.write(sealed);
         this.#environment.countSent(sealed.length);
       }
@@ -190,14 +202,12 @@
     }
   }
 
-  /** The peer never writes after the handshake; reading shows its end. */
-  async #watchClose(socket: FramedSocket): Promise<void> {
-    try {
-      await socket.read();
-    } catch {
-      // A broken connection ends the same way as a closed one.
-    }
-    socket.close();
+  /** Reads acknowledgements until the connection ends. */
+  async #watchClose(
+    acknowledgements: AcknowledgementReader,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await acknowledgements.run(signal);
     this.#wakeUp.resolve();
   }
 }
--- a/packages/protocol/src/peer_network_test.ts
+++ b/packages/protocol/src/peer_network_test.ts
@@ -1,7 +1,10 @@
-import { connect, type Socket } from "node:net";
+import { Buffer } from "node:buffer";
+import { connect, createServer, type Socket } from "node:net";
 import {
+  type Clock,
   createSilentLogger,
   Deferred,
+  ManualClock,
   RandomSource,
   SystemClock,
 } from "@rattanvane/base";
@@ -16,6 +19,9 @@
 const FLEET_KEY = "first fleet key of thirty-two characters";
 const NEXT_KEY = "second fleet key of thirty-two characters";
 
+/** Longer than a listener collects frames before it acknowledges them. */
+const ACKNOWLEDGEMENT_MILLISECONDS = 500;
+
 interface Received {
   from: VmId;
   message: Message;
@@ -35,7 +41,7 @@
 
 async function startPeer(
   vm: VmId,
-  options: { fleetKeys: string[]; port?: number },
+  options: { fleetKeys: string[]; port?: number; clock?: Clock },
   signal: AbortSignal,
 ): Promise<TestPeer> {
   const received: Received[] = [];
@@ -44,7 +50,7 @@
     self: createContact(vm, 0),
     listen: { host: "127.0.0.1", port: options.port ?? 0 },
     fleetKeys: options.fleetKeys,
-    clock: new SystemClock(),
+    clock: options.clock ?? new SystemClock(),
     random: new RandomSource(1),
     logger: createSilentLogger(),
     receive: (from, message) => {
@@ -176,6 +182,34 @@
     clearInterval(resend);
   });
 
+  it("drops a link whose frames are swallowed on the way", async () => {
+    const clock = new ManualClock();
+    const fleetKeys = [FLEET_KEY];
+    const listener = await startPeer("vm-1", { fleetKeys }, lifetime.signal);
+    const relay = await startRelay(listener.contact, lifetime.signal);
+    const dialer = await startPeer(
+      "vm-2",
+      { fleetKeys, clock },
+      lifetime.signal,
+    );
+    const changes: boolean[] = [];
+    dialer.network.linkChanges.listen(
+      (change) => changes.push(change.connected),
+      lifetime.signal,
+    );
+    dialer.network.learnContact(createContact("vm-1", relay.port));
+    const first = listener.waitForMessage();
+    dialer.network.send("vm-1", createMessage(1));
+    await first;
+    relay.swallow();
+    dialer.network.send("vm-1", createMessage(2));
+    while (changes.length < 2) {
+      await clock.advance(ACKNOWLEDGEMENT_MILLISECONDS);
+    }
+    expect(changes.slice(0, 2)).to.deep.equal([true, false]);
+    expect(listener.received).to.have.length(1);
+  });
+
   it("closes a replayed handshake before any message is read", async () => {
     const listener = await startPeer(
       "vm-1",
@@ -224,33 +258,52 @@
   }
 });
 
-/** Lets a real dialer send one message through a recorder of its bytes. */
-async function collectDialerBytes(
-  listener: TestPeer,
+/** A relay in front of a listener. */
+interface Relay {
+  port: number;
+  /** What dialers have sent. */
+  chunks: Uint8Array[];
+  /** Keeps the connections open, but passes nothing on any more. */
+  swallow: () => void;
+}
+
+async function startRelay(
+  target: VmContact,
   signal: AbortSignal,
-): Promise<Uint8Array> {
-  const { createServer } = await import("node:net");
-  const { Buffer } = await import("node:buffer");
+): Promise<Relay> {
+  const sockets: Socket[] = [];
   const chunks: Uint8Array[] = [];
-  const recorder = createServer((socket) => {
-    const upstream = connect(listener.contact.controlPort, "127.0.0.1");
+  const server = createServer((socket) => {
+    const upstream = connect(target.controlPort, "127.0.0.1");
+    sockets.push(socket, upstream);
     socket.on("data", (chunk) => chunks.push(chunk));
     socket.on("error", () => {});
     upstream.on("error", () => {});
     socket.pipe(upstream).pipe(socket);
   });
-  await new Promise<void>((resolve) =>
-    recorder.listen(0, "127.0.0.1", resolve)
-  );
-  signal.addEventListener("abort", () => recorder.close());
-  const address = recorder.address();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  signal.addEventListener("abort", () => {
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+  });
+  const address = server.address();
   const port = address !== null && typeof address === "object"
     ? address.port
     : 0;
+  const swallow = () => sockets.forEach((socket) => socket.unpipe());
+  return { port, chunks, swallow };
+}
+
+/** Lets a real dialer send one message through a recorder of its bytes. */
+async function collectDialerBytes(
+  listener: TestPeer,
+  signal: AbortSignal,
+): Promise<Uint8Array> {
+  const relay = await startRelay(listener.contact, signal);
   const dialer = await startPeer("vm-2", { fleetKeys: [FLEET_KEY] }, signal);
-  dialer.network.learnContact(createContact("vm-1", port));
+  dialer.network.learnContact(createContact("vm-1", relay.port));
   const message = listener.waitForMessage();
   dialer.network.send("vm-1", createMessage(1));
   await message;
-  return Buffer.concat(chunks);
+  return Buffer.concat(relay.chunks);
 }
--- a/packages/router/src/host/fleet_view.ts
+++ b/packages/router/src/host/fleet_view.ts
@@ -25,8 +25,8 @@
   terms: TermBook;
   view: ZoneView;
   findConfiguration: () => FleetConfiguration | undefined;
-  /** Whether the link to a VM was lost and has not come back. */
-  isDisconnected: (vm: VmId) => boolean;
+  /** Whether a VM is dead, or the link to it is lost. */
+  isUnreachable: (vm: VmId) => boolean;
 }
 
 /** Answers which pools there are and who schedules them. */
@@ -61,11 +61,8 @@
   }
 
   override isReachable(vm: VmId): boolean {
-    const { self, view, isDisconnected } = this.#options;
-    if (vm === self.vm) {
-      return true;
-    }
-    return view.findContact(vm) !== undefined && !isDisconnected(vm);
+    const { self, isUnreachable } = this.#options;
+    return vm === self.vm || !isUnreachable(vm);
   }
 
   override isSuperseded(pool: PoolId, term: Term): boolean {
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -7,7 +7,6 @@
   type Logger,
 } from "@rattanvane/base";
 import {
-  type AttemptCost,
   type AttemptOutcome,
   type EntryMovedMessage,
   formatPool,
@@ -23,9 +22,9 @@
   type VmId,
 } from "@rattanvane/protocol";
 import type { CallLedger } from "./call_ledger.ts";
+import { CostReporter } from "./cost_reporter.ts";
 import {
   CallPhase,
-  type CurrentAttempt,
   type GrantAnswer,
   type LedgerEntry,
 } from "./ledger_entry.ts";
@@ -33,20 +32,8 @@
 
 const SWEEP_MILLISECONDS = 250;
 const REPORT_AGAIN_MILLISECONDS = 10_000;
-const PROGRESS_MILLISECONDS = 1_000;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
-/** A cost is news when it exceeds what the scheduler knows by this factor. */
-const NEWS_FACTOR = 1.125;
-
-/** A sign of life, also while an attempt costs no more than estimated. */
-const LIFE_SIGN_MILLISECONDS = 10_000;
-
-interface ProgressBatch {
-  pool: PoolId;
-  attempts: AttemptCost[];
-}
-
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
   self: VmId;
@@ -177,31 +164,28 @@
 
   /** Repeats what a VM may have missed while its link was down. */
   followLink(vm: VmId): void {
-    for (const { pool, scheduler } of this.#listScheduled()) {
+    for (
+      const { pool, scheduler } of this.#options.ledger.listScheduledPools()
+    ) {
       if (scheduler === vm) {
         this.reportPool(pool, vm);
       }
     }
   }
 
-  /** Looks after waiting requests and reports costs until the abort. */
+  /** Looks after waiting requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let progressAt = 0;
+    const costs = new CostReporter(this.#options);
+    await Promise.all([this.#runSweeps(signal), costs.run(signal)]);
+  }
+
+  async #runSweeps(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#options.clock.sleep(SWEEP_MILLISECONDS, signal);
       this.#sweepWaiting();
-      const now = this.#options.clock.now();
-      if (now - progressAt >= PROGRESS_MILLISECONDS) {
-        progressAt = now;
-        this.#reportProgress();
-      }
     }
   }
 
-  #listScheduled() {
-    return this.#options.ledger.listScheduledPools();
-  }
-
   /** Asks a scheduler for a place; the sweep tries again when there is none. */
   #route(entry: LedgerEntry): void {
     const { directory, sender, clock, self } = this.#options;
@@ -372,36 +356,6 @@
     }
   }
 
-  /** Tells each scheduler what its running attempts have cost. */
-  #reportProgress(): void {
-    const { ledger, clock } = this.#options;
-    const now = clock.now();
-    const batches = new Map<string, ProgressBatch>();
-    for (const { current } of ledger.listPhase(CallPhase.Running)) {
-      if (current === undefined || !isNews(current, now)) {
-        continue;
-      }
-      const key = formatPool(current.pool);
-      const batch = batches.get(key) ?? { pool: current.pool, attempts: [] };
-      batches.set(key, batch);
-      const { attempt, cost } = current;
-      batch.attempts.push({ attempt, cost });
-      current.reportedCost = Math.max(cost, current.reportedCost);
-      current.reportedAt = now;
-    }
-    for (const batch of batches.values()) {
-      this.#sendProgress(batch);
-    }
-  }
-
-  #sendProgress({ pool, attempts }: ProgressBatch): void {
-    const { directory, sender } = this.#options;
-    const scheduler = directory.findScheduler(pool);
-    if (scheduler !== undefined) {
-      sender.send(scheduler, { kind: MessageKind.Progress, pool, attempts });
-    }
-  }
-
   #log(
     entry: LedgerEntry,
     sentence: string,
@@ -415,9 +369,3 @@
     });
   }
 }
-
-/** Whether a scheduler should hear of an attempt's cost. */
-function isNews(current: CurrentAttempt, now: number): boolean {
-  const exceeds = current.cost > current.reportedCost * NEWS_FACTOR;
-  return exceeds || now - current.reportedAt >= LIFE_SIGN_MILLISECONDS;
-}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -103,10 +103,11 @@
   }
 
   #connectParts(): void {
-    const { links, network, dispatcher, store, host, terms, membership } =
+    const { links, dead, network, dispatcher, store, host, terms, membership } =
       this.#parts;
     const { signal } = this.#lifetime;
     const reconnected = (vm: string) => dispatcher.followLink(vm);
+    dead.follow(membership, signal);
     links.follow(network, { reconnected }, signal);
     store.changed.listen((configuration) => {
       host.updateConfiguration(configuration);
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -38,6 +38,7 @@
 import { CallerServer } from "./caller/caller_server.ts";
 import { LivenessHandler, ReadinessHandler } from "./caller/health_handlers.ts";
 import { MetricsHandler, StatusHandler } from "./caller/operator_handlers.ts";
+import { DeadVms } from "./host/dead_vms.ts";
 import { FleetView } from "./host/fleet_view.ts";
 import { LinkStates } from "./host/link_states.ts";
 import { LoadPoller } from "./host/load_poller.ts";
@@ -84,6 +85,7 @@
   readonly ledger = new CallLedger();
   readonly store = new ConfigurationStore();
   readonly links = new LinkStates();
+  readonly dead = new DeadVms();
   readonly random: RandomSource;
   readonly self: VmContact;
   readonly suspects: SuspectRegistry;
@@ -247,7 +249,8 @@
       terms: this.terms,
       view: this.membership,
       findConfiguration: () => this.findConfiguration(),
-      isDisconnected: (vm) => this.links.isDisconnected(vm),
+      isUnreachable: (vm) =>
+        this.links.isDisconnected(vm) || this.dead.isDead(vm),
     });
   }
 
@@ -355,7 +358,7 @@
       process: this.#options.settings.vm + randomUUID(),
       sender: this.network,
       clock: this.#options.clock,
-      isLive: (vm) => this.membership.findContact(vm) !== undefined,
+      isLive: (vm) => !this.dead.isDead(vm),
       runForwarded,
       timeoutMilliseconds: KEY_FORWARD_TIMEOUT_MILLISECONDS,
       resendMilliseconds: KEY_FORWARD_RESEND_MILLISECONDS,
