Clean up the rows of keys from one VM of the fleet

Cause: the clean-up was written, but no router ran it, so rows and results would have stayed for ever. Ruled out: a walk by each zone (five times the reads, for the same rows). Change: the first VM of the first zone that is not drained walks every ten minutes; RowCleaner pauses between walks.

--- a/packages/once/src/row_cleaner.ts
+++ b/packages/once/src/row_cleaner.ts
@@ -32,6 +32,8 @@
   isCleaner: () => boolean;
   /** The pause between two pages of rows. */
   pageMilliseconds: number;
+  /** The pause between two walks over all rows. */
+  walkMilliseconds: number;
 }
 
 /** Walks slowly over all rows; two cleaners at once do no harm. */
@@ -44,9 +46,10 @@
 
   /** Cleans up until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, walkMilliseconds } = this.#options;
     while (!signal.aborted) {
+      await clock.sleep(walkMilliseconds, signal);
       await this.runOnce(signal);
-      await this.#options.clock.sleep(this.#options.pageMilliseconds, signal);
     }
   }
 
--- a/packages/once/src/row_cleaner_test.ts
+++ b/packages/once/src/row_cleaner_test.ts
@@ -32,6 +32,7 @@
     logger: createSilentLogger(),
     isCleaner,
     pageMilliseconds: 10,
+    walkMilliseconds: MINUTE,
   });
 }
 
@@ -95,6 +96,20 @@
     expect(markers).to.deep.equal([]);
   });
 
+  it("walks again and again until its process stops", async () => {
+    const fleet = new OnceFleet();
+    const stop = new AbortController();
+    const running = createCleaner(fleet).run(stop.signal);
+    for (const key of ["k1", "k2"]) {
+      await runJob(fleet, key, "v1");
+      await fleet.clock.advance(8 * DAY);
+      await fleet.clock.advance(2 * MINUTE);
+      expect(countCallRows(fleet)).to.equal(0);
+    }
+    stop.abort();
+    await fleet.wait(running);
+  });
+
   it("does nothing on a VM that is not the cleaner", async () => {
     const fleet = new OnceFleet();
     await runJob(fleet, "k1", "v1");
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -83,6 +83,7 @@
     this.#runTask("configuration peer", this.#parts.peer.run(signal));
     this.#runTask("configuration watcher", this.#parts.watcher.run(signal));
     this.#runTask("dispatcher", this.#parts.dispatcher.run(signal));
+    this.#runTask("key cleaner", this.#parts.keyCleaner.run(signal));
     this.#runTask(
       "VM list reader",
       runVmListReader({
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -24,6 +24,7 @@
   generateKeySecret,
   KeyedCalls,
   KeyForwarder,
+  type RowCleaner,
 } from "@rattanvane/once";
 import { HttpEndpointClient } from "@rattanvane/platform";
 import { PeerNetwork, type VmContact } from "@rattanvane/protocol";
@@ -39,6 +40,7 @@
 import { LivenessHandler, ReadinessHandler } from "./caller/health_handlers.ts";
 import { MetricsHandler, StatusHandler } from "./caller/operator_handlers.ts";
 import { FleetView } from "./host/fleet_view.ts";
+import { createKeyCleaner } from "./host/key_cleaner.ts";
 import { LinkStates } from "./host/link_states.ts";
 import { LoadPoller } from "./host/load_poller.ts";
 import { MessageSwitch } from "./host/message_switch.ts";
@@ -99,6 +101,7 @@
   readonly dispatcher: Dispatcher;
   readonly metrics: RouterMetrics;
   readonly keyedCalls: KeyedCalls;
+  readonly keyCleaner: RowCleaner;
   readonly rowWriter: CollectedRowWriter;
   readonly server: CallerServer;
   readonly #options: RouterPartsOptions;
@@ -150,6 +153,12 @@
       runner.runForwarded(call, lifetime)
     );
     this.rowWriter = createRowWriter(settings, { ...this, clock }, signal);
+    this.keyCleaner = createKeyCleaner({
+      ...this,
+      clock,
+      logger: logger.forPart("once"),
+      findConfiguration: () => this.findConfiguration(),
+    });
     this.keyedCalls = this.#createKeyedCalls(forwarder);
     const runner = new OnceCallRunner({ context, calls: this.keyedCalls });
     this.server = this.#createServer(context, runner);
