Forward to the next scheduler, and test what no test noticed

Cause: messages on their way at a handover were dropped, so their slots leaked until the silence timeout; several guards could be taken out unnoticed. Ruled out: answering with NotScheduler (the end of an attempt would be lost). Change: a scheduler that handed over forwards; tests of the cautious share, of the counters' alignment, hurried counters, handed-over limits and time spent down.

--- a/packages/limits/src/cautious_share_test.ts
+++ b/packages/limits/src/cautious_share_test.ts
@@ -2,6 +2,7 @@
 import { AttemptOutcome } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { CautiousShare } from "./cautious_share.ts";
 import { EndpointLimit } from "./endpoint_limit.ts";
 import { DEFAULT_ENDPOINT_LIMIT_SETTINGS } from "./settings.ts";
 
@@ -110,6 +111,79 @@
   return { most, mean, means };
 }
 
+const GROWN_AT = 5500;
+
+describe("CautiousShare", () => {
+  /** A share that has grown from 4 to 6 of 8 by clean reports in full use. */
+  function createGrown(): CautiousShare {
+    const share = new CautiousShare(DEFAULT_ENDPOINT_LIMIT_SETTINGS, "vm");
+    const limit = 8;
+    for (let now = 0; now <= 5500; now += 500) {
+      const sampledAt = now;
+      share.recordReport({ now, sampledAt, foreign: 0, isSure: true, limit });
+      share.updateOwn(share.computeShare(limit, now), { limit, now });
+    }
+    const now = GROWN_AT;
+    expect(share.computeShare(limit, now)).to.equal(6);
+    return share;
+  }
+
+  it("loses at once what it does not use", () => {
+    const share = createGrown();
+    share.updateOwn(5, { limit: 8, now: GROWN_AT });
+    expect(share.computeShare(8, GROWN_AT + 10)).to.equal(6);
+    expect(share.computeShare(8, GROWN_AT + 100)).to.equal(5);
+  });
+
+  it("goes back to the half when the limit is raised", () => {
+    expect(createGrown().computeShare(16, GROWN_AT + 10)).to.equal(8);
+  });
+
+  it("goes back to the half for a foreign request or without reports", () => {
+    const share = createGrown();
+    expect(share.computeShare(8, 60_000)).to.equal(4);
+    const report = {
+      now: GROWN_AT,
+      sampledAt: GROWN_AT,
+      isSure: true,
+      limit: 8,
+    };
+    const other = createGrown();
+    other.recordReport({ ...report, foreign: 1 });
+    expect(other.computeShare(8, GROWN_AT + 10)).to.equal(4);
+  });
+
+  it("grows by no report that leaves a doubt", () => {
+    for (const isSure of [true, false]) {
+      const share = createGrown();
+      const limit = 8;
+      let widest = 0;
+      for (let now = GROWN_AT; now < 20_000; now += 500) {
+        const sampledAt = now;
+        share.recordReport({ now, sampledAt, foreign: 0, isSure, limit });
+        widest = Math.max(widest, share.computeShare(limit, now));
+      }
+      expect(widest).to.equal(isSure ? 7 : 6);
+    }
+  });
+
+  it("takes the other side at its peak", async () => {
+    const clock = new ManualClock();
+    const { limit } = createSide({ clock, coldLimit: 8, self: "vm" });
+    for (const running of [7, 3]) {
+      await clock.advance(500);
+      const uptimeMilliseconds = clock.now();
+      const report = { bootId: "b", running, waiting: 0, slots: 8 };
+      limit.receiveReport({
+        ...report,
+        uptimeMilliseconds,
+        ageMilliseconds: 0,
+      });
+    }
+    expect(limit.freeSlots).to.equal(1);
+  });
+});
+
 describe("Schedulers without a lease", () => {
   for (const demands of [[1, 1], [1, 0.02], [0.3, 0.3], [0.02, 0.02]]) {
     it(`stay within the limit together at demands ${demands}`, async () => {
--- a/packages/limits/src/endpoint_limit_test.ts
+++ b/packages/limits/src/endpoint_limit_test.ts
@@ -93,6 +93,18 @@
     expect(limit.freeSlots).to.equal(2);
   });
 
+  it("counts no time in which it was down as evidence", async () => {
+    const { clock, limit } = createFixture();
+    const [attempt] = startAll(limit);
+    const outcome = AttemptOutcome.NotSent;
+    limit.finishAttempt(attempt as string, createEnd({ outcome }));
+    await clock.advance(SETTINGS.probe.maximumMilliseconds);
+    for (let round = 0; round < 3; round++) {
+      startAll(limit).forEach((one) => limit.finishAttempt(one, createEnd()));
+    }
+    expect(limit.limit).to.equal(2);
+  });
+
   it("tries at once when the endpoint reports again", () => {
     const { limit } = createFixture();
     const [attempt] = startAll(limit);
--- a/packages/scheduling/src/pool/fairness_test.ts
+++ b/packages/scheduling/src/pool/fairness_test.ts
@@ -20,18 +20,37 @@
   before?: () => void;
 }
 
+interface Measured {
+  gap: number;
+  served: number[];
+  /** The widest lead of a virtual time after it had time to settle. */
+  lead: number;
+}
+
+function computeLead(world: PoolWorld): number {
+  const [first, second] = world.schedulers.map(({ scheduler }) =>
+    scheduler.describeStatus().virtualTime
+  );
+  return Math.abs((first ?? 0) - (second ?? 0));
+}
+
 /** Keeps every tenant backlogged; returns the widest normalised gap. */
 async function measureGap(
   world: PoolWorld,
   options: MeasureOptions,
-): Promise<{ gap: number; served: number[] }> {
+): Promise<Measured> {
   const { tenants } = options;
+  const startedAt = world.clock.now();
+  let widestLead = 0;
   const names = [...new Set(tenants.map(({ organisation }) => organisation))];
   const starts = names.map((name) => world.service.get(name) ?? 0);
   let lowest = 0;
   let highest = 0;
   await world.run(SECONDS * 1000, () => {
     options.before?.();
+    if (world.clock.now() - startedAt >= SETTLED_MILLISECONDS) {
+      widestLead = Math.max(widestLead, computeLead(world));
+    }
     for (const tenant of tenants) {
       addBacklog(world, tenant);
     }
@@ -46,7 +65,7 @@
   const served = names.map((name, index) =>
     (world.service.get(name) ?? 0) - (starts[index] as number)
   );
-  return { gap: highest - lowest, served };
+  return { gap: highest - lowest, served, lead: widestLead };
 }
 
 function addBacklog(world: PoolWorld, tenant: TenantOptions): void {
@@ -78,6 +97,12 @@
   return world;
 }
 
+/** How far one zone's virtual time may lead the other's once it settled. */
+const LARGEST_LEAD = 10_000;
+
+/** When virtual times must have settled after a start or a cut. */
+const SETTLED_MILLISECONDS = 4000;
+
 const LOWEST_COST = 100;
 const HIGHEST_COST = 2000;
 const SLOTS = 16;
@@ -95,7 +120,7 @@
 }
 
 function createTenant(
-  options: Pick<TenantOptions, "organisation" | "vm" | "backlog" | "hint">,
+  options: Omit<TenantOptions, "lowestCost" | "highestCost">,
 ): TenantOptions {
   return { ...options, lowestCost: LOWEST_COST, highestCost: HIGHEST_COST };
 }
@@ -185,13 +210,17 @@
   });
 
   it("starts no scheduler behind the other zones", async () => {
-    const world = createWorld();
-    const tenants = [createFlood("z1-vm0"), createQuiet("z2-vm1")];
+    const world = createWorld({ seed: 1 });
+    const tenants = [
+      createTenant({ organisation: "a", vm: "z1-vm0", backlog: 50 }),
+      createTenant({ organisation: "b", vm: "z2-vm1", backlog: 50 }),
+    ];
     await measureGap(world, { tenants });
     world.stopScheduler(world.schedulers[1]!);
     world.startScheduler("z2-vm1");
-    const { served } = await measureGap(world, { tenants });
+    const { served, lead } = await measureGap(world, { tenants });
     checkAlike(served);
+    expect(lead).to.be.below(LARGEST_LEAD);
     expect(world.sumEndpoints(({ crashes }) => crashes)).to.equal(0);
   });
 
@@ -210,13 +239,7 @@
     const rejoined = await measureGap(world, { tenants });
     expect(rejoined.gap).to.be.below(computeBound());
     checkAlike(rejoined.served);
-    const virtualTimes = world.schedulers.map(({ scheduler }) =>
-      scheduler.describeStatus().virtualTime
-    );
-    const lead = Math.abs(virtualTimes[0]! - virtualTimes[1]!);
-    expect(lead).to.be.below(
-      DEFAULT_POOL_SCHEDULER_SETTINGS.fairness.debtCap / 2,
-    );
+    expect(rejoined.lead).to.be.below(LARGEST_LEAD);
   });
 });
 
--- a/packages/scheduling/src/pool/moving_test.ts
+++ b/packages/scheduling/src/pool/moving_test.ts
@@ -61,7 +61,7 @@
 
   it("use idle zones at once when work begins to wait", async () => {
     const world = createWorld();
-    await world.run(3020);
+    await world.run(3120);
     world.addRequests(24, { vm: "z1-vm1", organisation: "a", cost: 1000 });
     await world.run(200);
     expect(world.sumEndpoints(({ jobs }) => jobs.size)).to.equal(24);
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -31,6 +31,15 @@
   siblings: readonly SiblingAddress[];
 }
 
+/** What the next scheduler needs when it arrives at the former one. */
+const FORWARDED: ReadonlySet<MessageKind> = new Set([
+  MessageKind.Enqueue,
+  MessageKind.CancelEntry,
+  MessageKind.DeclineGrant,
+  MessageKind.Progress,
+  MessageKind.Finish,
+]);
+
 /** Owns a pool's queue and its endpoints' limits for one term. */
 export class PoolScheduler {
   readonly #state: PoolState;
@@ -43,7 +52,8 @@
   readonly #exchange: CounterExchange;
   readonly #mover: EntryMover;
   readonly #intake: EntryIntake;
-  #isRetired = false;
+  /** Who has the pool after this scheduler; undefined while it grants. */
+  #successor: VmId | undefined;
 
   constructor(options: PoolSchedulerOptions) {
     const state = new PoolState(options);
@@ -85,8 +95,8 @@
 
   /** Applies one message and grants what it made possible. */
   handle(from: VmId, message: SchedulerMessage): void {
-    if (this.#isRetired) {
-      this.#answerRetired(from, message);
+    if (this.#successor !== undefined) {
+      this.#forward(message);
       return;
     }
     this.#apply(from, message);
@@ -146,7 +156,7 @@
   handOver(to: VmId): void {
     const { sender, pool, term, logger } = this.#state.options;
     const { fair } = this.#state.queue;
-    this.#isRetired = true;
+    this.#successor = to;
     sender.send(to, {
       kind: MessageKind.Handover,
       pool,
@@ -172,7 +182,7 @@
   }
 
   #runStep(): void {
-    if (this.#isRetired) {
+    if (this.#successor !== undefined) {
       return;
     }
     this.#reports.runStep();
@@ -187,7 +197,7 @@
   }
 
   #grantAndOffer(): void {
-    if (this.#isRetired) {
+    if (this.#successor !== undefined) {
       return;
     }
     this.#granter.grantAll();
@@ -252,12 +262,10 @@
     }
   }
 
-  /** Sends an ingress on to the next scheduler. */
-  #answerRetired(from: VmId, message: SchedulerMessage): void {
-    if (message.kind === MessageKind.Enqueue) {
-      const { sender, pool } = this.#state.options;
-      const { request } = message.entry;
-      sender.send(from, { kind: MessageKind.NotScheduler, pool, request });
+  /** Passes on what was on its way here when the pool was handed over. */
+  #forward(message: SchedulerMessage): void {
+    if (this.#successor !== undefined && FORWARDED.has(message.kind)) {
+      this.#state.options.sender.send(this.#successor, message);
     }
   }
 }
--- a/packages/scheduling/src/pool/pool_scheduler_test.ts
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -233,9 +233,38 @@
     const after = next.scheduler.describeStatus();
     expect(after.organisations).to.deep.equal(before.organisations);
     expect(after.virtualTime).to.equal(before.virtualTime);
-    world.findEndpoint("z1-e0").jobs.clear();
+  });
+
+  it("keeps slots busy over a handover", async () => {
+    const world = createWorld();
+    const add = () => {
+      while (world.countWaiting("z1-vm1", "a") < 20) {
+        const cost = world.random.nextInteger(50, 400);
+        world.addRequest({ ...LONG, cost });
+      }
+    };
+    await world.run(3000, add);
+    const former = world.schedulers[0]!;
+    world.startScheduler("z1-vm1");
+    former.scheduler.handOver("z1-vm1");
+    const { used, borne } = await world.measureSlotUse(1000, add);
+    expect(used / borne).to.be.above(0.85);
+  });
+
+  it("hands the limit of an idle endpoint over", async () => {
+    const endpoint = { slots: 16, coldSlots: 2 };
+    const zone = { zone: "z1", vms: 2, endpoints: 1, endpoint };
+    const world = createWorld({ zones: [zone] });
+    await world.run(15_000, () => {
+      while (world.countWaiting("z1-vm1", "a") < 20) {
+        world.addRequest({ ...LONG, cost: 500 });
+      }
+    });
+    await world.run(5000);
+    const former = world.schedulers[0]!;
+    const next = world.startScheduler("z1-vm1");
+    former.scheduler.handOver("z1-vm1");
     await world.run(600);
-    const [endpoint] = next.scheduler.describeStatus().endpoints;
-    expect(endpoint?.limit).to.equal(16);
+    expect(next.scheduler.describeStatus().endpoints[0]?.limit).to.equal(16);
   });
 });
