Keep the order of arrival for retries, and name attempts apart

Cause: a retried entry went behind all that had come since; a term that comes again after a restart could have named an attempt twice; totals of dead siblings were kept for good. Ruled out: a heap for each organisation (memory), an exact search for the place (linear time).

--- a/packages/fairness/src/fair_queue.ts
+++ b/packages/fairness/src/fair_queue.ts
@@ -6,17 +6,11 @@
   OrganisationId,
   VirtualCounter,
 } from "@rattanvane/protocol";
-import { Account, compareAccounts } from "./account.ts";
+import { Account, compareAccounts, type FairEntry } from "./account.ts";
 import { BinaryHeap } from "./binary_heap.ts";
 import type { QueuePlace } from "./linked_queue.ts";
 import type { ServiceDifference } from "./remote_totals.ts";
 
-/** What the queue has to know of an entry. */
-export interface FairEntry {
-  request: string;
-  organisation: OrganisationId;
-}
-
 /** What a scheduler says of an entry that could be next. */
 export enum PickVerdict {
   Take = "take",
@@ -52,7 +46,7 @@
   idleGraceMilliseconds: 500,
 };
 
-interface Waiting<Entry> {
+interface Waiting<Entry extends FairEntry> {
   account: Account<Entry>;
   place: QueuePlace<Entry>;
 }
@@ -105,7 +99,8 @@
   }
 
   /**
-   * Adds an entry at the end of its organisation's; ignores a repeat. An
+   * Adds an entry behind those of its organisation that have waited as long;
+   * ignores a repeat. An
    * organisation that was idle is lifted, but not past the counter up to which
    * it was backlogged at another pool. One whose callers send the next request
    * when the last one was granted is not idle in between.
--- a/packages/fairness/src/fair_queue_test.ts
+++ b/packages/fairness/src/fair_queue_test.ts
@@ -13,6 +13,7 @@
 interface TestEntry {
   request: string;
   organisation: string;
+  waitingSince: number;
   cost: number;
 }
 
@@ -35,7 +36,7 @@
   const first = queue.countWaiting(organisation);
   for (let index = 0; index < count; index++) {
     const request = `${organisation}${first + index}`;
-    queue.add({ request, organisation, cost });
+    queue.add({ request, organisation, waitingSince: 0, cost });
   }
 }
 
@@ -86,7 +87,12 @@
       for (const { organisation, backlog, largestCost } of tenants) {
         while (queue.countWaiting(organisation) < backlog) {
           const cost = random.nextInteger(1, largestCost);
-          queue.add({ request: `r${next++}`, organisation, cost });
+          queue.add({
+            request: `r${next++}`,
+            organisation,
+            waitingSince: step,
+            cost,
+          });
         }
       }
       const entry = removeNext(queue) as TestEntry;
@@ -197,6 +203,19 @@
     expect(order).to.deep.equal(["a0", "a1", "a3", "a4"]);
   });
 
+  it("keeps the order of arrival when entries come late or again", () => {
+    const queue = createQueue();
+    for (const waitingSince of [5, 6, 9, 7, 1, 9, 6]) {
+      const request = `a${queue.size}`;
+      queue.add({ request, organisation: "a", waitingSince, cost: 1 });
+    }
+    const order = [];
+    for (let entry = removeNext(queue); entry; entry = removeNext(queue)) {
+      order.push(entry.request);
+    }
+    expect(order).to.deep.equal(["a4", "a0", "a1", "a6", "a3", "a2", "a5"]);
+  });
+
   it("lifts an organisation that was idle, without credit or debt", () => {
     const queue = createQueue();
     addEntries(queue, { organisation: "busy", count: 20 });
@@ -277,8 +296,8 @@
     const queue = createQueue();
     addEntries(queue, { organisation: "busy", count: 1 });
     queue.charge("busy", 500);
-    const moved = { request: "m", organisation: "moved", cost: 1 };
-    queue.add(moved, 300);
+    const moved = { request: "m", organisation: "moved", waitingSince: 0 };
+    queue.add({ ...moved, cost: 1 }, 300);
     expect(queue.findVirtual("moved")).to.equal(300);
   });
 
--- a/packages/fairness/src/mod.ts
+++ b/packages/fairness/src/mod.ts
@@ -1,5 +1,6 @@
 /** Fair queueing between organisations with costs known at the end. */
 
+export type { FairEntry } from "./account.ts";
 export { BinaryHeap, type HeapOrder } from "./binary_heap.ts";
 export {
   CostEstimator,
@@ -11,7 +12,6 @@
 export {
   type Charge,
   DEFAULT_FAIR_QUEUE_SETTINGS,
-  type FairEntry,
   FairQueue,
   type FairQueueOptions,
   type FairQueueSettings,
--- a/packages/fairness/src/remote_totals.ts
+++ b/packages/fairness/src/remote_totals.ts
@@ -28,6 +28,7 @@
 interface SenderState {
   term: Term;
   sequence: number;
+  heardAt: number;
   /** Whether all of the sender's messages in this term could be known. */
   knownFromStart: boolean;
   totals: Map<OrganisationId, number>;
@@ -41,12 +42,13 @@
   readonly #senders = new Map<string, SenderState>();
 
   /** Takes a report in; returns nothing for a repeat or an old one. */
-  merge(report: RemoteReport): ServiceDifference[] {
+  merge(report: RemoteReport, now: number): ServiceDifference[] {
     const state = this.#findState(report);
     if (state === undefined) {
       return [];
     }
     state.sequence = report.sequence;
+    state.heardAt = now;
     const differences: ServiceDifference[] = [];
     for (const total of report.totals) {
       const service = total.service - this.#findBaseline(state, total);
@@ -58,9 +60,13 @@
     return differences;
   }
 
-  /** Forgets a sender that is gone for good. */
-  remove(sender: string): void {
-    this.#senders.delete(sender);
+  /** Forgets senders that were last heard of before a time. */
+  removeSilent(since: number): void {
+    for (const [sender, state] of this.#senders) {
+      if (state.heardAt < since) {
+        this.#senders.delete(sender);
+      }
+    }
   }
 
   #findState(report: RemoteReport): SenderState | undefined {
@@ -77,6 +83,7 @@
     const fresh = {
       term: report.term,
       sequence: report.sequence,
+      heardAt: 0,
       knownFromStart: state !== undefined || report.sequence === 1,
       totals: new Map<OrganisationId, number>(),
     };
--- a/packages/fairness/src/remote_totals_test.ts
+++ b/packages/fairness/src/remote_totals_test.ts
@@ -70,11 +70,20 @@
       const totals = new RemoteTotals();
       let sum = 0;
       for (const report of reports) {
-        for (const difference of totals.merge(report)) {
+        for (const difference of totals.merge(report, 0)) {
           sum += difference.service;
         }
       }
       expect(sum).to.equal(expected);
     });
   }
+
+  it("forgets a sender only when it was silent for long", () => {
+    const totals = new RemoteTotals();
+    totals.merge(createReport(1, 10), 100);
+    totals.removeSilent(100);
+    expect(totals.merge(createReport(2, 30), 200)).to.have.lengthOf(1);
+    totals.removeSilent(201);
+    expect(totals.merge(createReport(3, 90), 300)).to.have.lengthOf(0);
+  });
 });
--- a/packages/scheduling/src/pool/counter_exchange.ts
+++ b/packages/scheduling/src/pool/counter_exchange.ts
@@ -10,6 +10,9 @@
 import type { PoolState } from "./pool_state.ts";
 import type { Sibling, Siblings } from "./siblings.ts";
 
+/** Longer than regions lose each other, so that a rejoin finds its totals. */
+const REMEMBERED_MILLISECONDS = 4 * 3_600_000;
+
 /** Sends the organisations that changed, and takes in those of others. */
 export class CounterExchange {
   readonly #state: PoolState;
@@ -29,6 +32,7 @@
   runStep(): void {
     const { counterPeriodMilliseconds } = this.#state.options.settings;
     if (this.#state.now - this.#sentAt >= counterPeriodMilliseconds) {
+      this.#remote.removeSilent(this.#state.now - REMEMBERED_MILLISECONDS);
       this.#send();
     }
   }
@@ -55,7 +59,7 @@
       term: message.term,
       sequence: message.sequence,
       totals: message.totals,
-    });
+    }, now);
     const silence = now - (heardBefore ?? -Infinity);
     const wasCut = silence > options.settings.siblingTimeoutMilliseconds;
     queue.fair.applyRemote(differences, { capDebt: wasCut });
--- a/packages/scheduling/src/pool/entry_mover.ts
+++ b/packages/scheduling/src/pool/entry_mover.ts
@@ -1,6 +1,5 @@
 /** Moves waiting entries to where slots stand idle. */
 
-import { PickVerdict } from "@rattanvane/fairness";
 import {
   type EntriesTakenMessage,
   MessageKind,
@@ -11,6 +10,7 @@
   type VirtualCounter,
   type VmId,
 } from "@rattanvane/protocol";
+import { pickEntriesToMove } from "./move_selection.ts";
 import { convertToQueueEntry, type WaitingEntry } from "./pool_queue.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Sibling, Siblings } from "./siblings.ts";
@@ -211,7 +211,10 @@
 
   /** Sends entries away, those of the lowest counters first. */
   #move(sibling: Sibling, count: number): void {
-    const picked = this.#pickFairly(count);
+    const picked = pickEntriesToMove(this.#state, {
+      guard: this.#guard,
+      count,
+    });
     if (picked.length === 0) {
       return;
     }
@@ -238,35 +241,6 @@
     });
   }
 
-  /** Charges what it picks while it picks, as if it were granted here. */
-  #pickFairly(count: number): WaitingEntry[] {
-    const { queue } = this.#state;
-    const picked: WaitingEntry[] = [];
-    const charges = [];
-    while (picked.length < count) {
-      const waiting = queue.fair.pick(({ entry }) =>
-        this.#canMove(entry) ? PickVerdict.Take : PickVerdict.Skip
-      );
-      if (waiting === undefined) {
-        break;
-      }
-      queue.remove(waiting.request);
-      picked.push(waiting);
-      const { organisation, entry } = waiting;
-      const estimate = this.#state.estimate(organisation, entry.hintedCost);
-      charges.push(queue.fair.charge(organisation, estimate));
-    }
-    for (const charge of charges) {
-      queue.fair.updateCharge(charge, 0);
-    }
-    return picked;
-  }
-
-  #canMove(entry: QueueEntry): boolean {
-    return this.#state.ingresses.has(entry.ingress) &&
-      this.#guard.canMove(entry.fingerprint);
-  }
-
   #takeEntry(entry: QueueEntry, message: MoveEntriesMessage): void {
     const { queue, attempts, now } = this.#state;
     if (attempts.findByRequest(entry.request) !== undefined) {
--- a/packages/scheduling/src/pool/granter.ts
+++ b/packages/scheduling/src/pool/granter.ts
@@ -14,6 +14,9 @@
 import type { Refuser } from "./refuser.ts";
 import { type SuspectGuard, Suspicion } from "./suspect_guard.ts";
 
+const HIGHEST_INSTANCE = 0x7fffffff;
+const INSTANCE_RADIX = 36;
+
 /** How many of the entries that are set aside are looked at in one go. */
 const ASIDE_LOOK_AHEAD = 32;
 
@@ -22,6 +25,8 @@
   readonly #state: PoolState;
   readonly #refuser: Refuser;
   readonly #guard: SuspectGuard;
+  /** Tells a VM's schedulers apart, also when a term comes again. */
+  readonly #instance: string;
   #nextAttempt = 1;
   #placement: Placement | undefined;
   #outOfTurn: WaitingEntry[] = [];
@@ -33,6 +38,8 @@
     this.#state = state;
     this.#refuser = parts.refuser;
     this.#guard = parts.guard;
+    const instance = state.options.random.nextInteger(0, HIGHEST_INSTANCE);
+    this.#instance = instance.toString(INSTANCE_RADIX);
   }
 
   /** Grants until nothing waits or nothing has room. */
@@ -165,8 +172,9 @@
   }
 
   #createAttemptId(): AttemptId {
-    const { self, term, pool } = this.#state.options;
-    return `${pool.service}.${self}.${term.number}.${this.#nextAttempt++}`;
+    const { self, term } = this.#state.options;
+    const number = this.#nextAttempt++;
+    return `${self}.${term.number}.${this.#instance}.${number}`;
   }
 
   #logGrant(waiting: WaitingEntry, message: GrantMessage): void {
--- a/packages/scheduling/src/pool/pool_scheduler_test.ts
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -1,3 +1,4 @@
+import { type LogFields, Logger } from "@rattanvane/base";
 import {
   type Message,
   MessageKind,
@@ -18,6 +19,23 @@
   return world;
 }
 
+/** Keeps the lines of decisions. */
+class RecordingLogger extends Logger {
+  readonly lines: { sentence: string; fields: LogFields }[] = [];
+
+  override debug(): void {}
+  override warn(): void {}
+  override error(): void {}
+
+  override info(sentence: string, fields: LogFields = {}): void {
+    this.lines.push({ sentence, fields });
+  }
+
+  override forPart(): Logger {
+    return this;
+  }
+}
+
 const LONG = { vm: "z1-vm1", organisation: "a", cost: 5000 };
 
 function listReasons(world: PoolWorld, vm: string): RefusalReason[] {
@@ -128,6 +146,29 @@
   });
 });
 
+describe("PoolScheduler log", () => {
+  it("has a line with all names for each grant and refusal", async () => {
+    const logger = new RecordingLogger();
+    const world = createWorld({ logger, queueLimits: { a: 2 } });
+    await world.run(1000);
+    world.addRequests(11, LONG);
+    await world.run(50);
+    const sentences = logger.lines.map(({ sentence }) => sentence);
+    const grants = sentences.filter((one) => one === "granted an attempt");
+    const refusals = sentences.filter((one) => one === "refused a request");
+    expect([grants.length, refusals.length]).to.deep.equal([8, 1]);
+    const line = logger.lines.find(({ sentence }) => sentence === grants[0]);
+    expect(line?.fields).to.include({
+      request: "r1",
+      organisation: "a",
+      service: "model",
+      zone: "z1",
+      reason: PlacementReason.LeastLoaded,
+    });
+    expect(line?.fields).to.include.keys("attempt", "endpoint");
+  });
+});
+
 describe("PoolScheduler rebuild", () => {
   it("loses no waiting request with its scheduler", async () => {
     const world = createWorld();
--- a/packages/scheduling/src/pool/testing/pool_world.ts
+++ b/packages/scheduling/src/pool/testing/pool_world.ts
@@ -2,6 +2,7 @@
 
 import {
   createSilentLogger,
+  type Logger,
   ManualClock,
   RandomSource,
 } from "@rattanvane/base";
@@ -49,6 +50,7 @@
   seed: number;
   settings?: Partial<PoolSchedulerSettings>;
   leased?: boolean;
+  logger?: Logger;
 }
 
 /** A scheduler that runs in a world. */
@@ -129,7 +131,7 @@
       sender: this.network.createSender(vm),
       clock: this.clock,
       random: new RandomSource(seed + this.#nextTerm),
-      logger: createSilentLogger(),
+      logger: this.#options.logger ?? createSilentLogger(),
       settings: { ...DEFAULT_POOL_SCHEDULER_SETTINGS, ...settings },
       suspects,
     });
