Bound the traffic of membership while a zone is overloaded

Cause: with half of 40 VMs slow by 100 to 900 ms, a VM sent 101 KB/s of probes and gossip; the limit for all control is 16 KB/s.

Change: budgets for urgent rounds, for updates and for indirect probes (token buckets), and timeouts that grow up to threefold while answers come late.

--- a/packages/membership/src/gossip_spread.ts
+++ b/packages/membership/src/gossip_spread.ts
@@ -20,6 +20,7 @@
 import type { SeedList } from "./seed_list.ts";
 import type { SelfState } from "./self_state.ts";
 import type { MembershipSettings } from "./settings.ts";
+import { TokenBucket } from "./token_bucket.ts";
 import { isListed, type VmRecord, type VmTable } from "./vm_table.ts";
 import { type MembershipChange, MembershipChangeKind } from "./zone_view.ts";
 
@@ -33,6 +34,10 @@
 /** How many VMs of the own zone a message names to another zone. */
 const CONTACT_HINTS = 1;
 
+/** Bounds the news that a VM sends, however much of it there is. */
+const BURST_UPDATES = 2_000;
+const UPDATES_PER_SECOND = 40;
+
 /** What a message says of its sender and its recipient, beside the news. */
 const MAXIMUM_ADDRESSED_UPDATES = 2;
 
@@ -74,11 +79,17 @@
 /** Keeps the news that is to be passed on. */
 export class GossipSpread {
   readonly #options: GossipSpreadOptions;
+  readonly #budget: TokenBucket;
   readonly #updates = new RetransmitQueue<VmUpdate>();
   readonly #terms = new RetransmitQueue<PoolTerm>();
 
   constructor(options: GossipSpreadOptions) {
     this.#options = options;
+    this.#budget = new TokenBucket({
+      clock: options.clock,
+      burst: BURST_UPDATES,
+      perSecond: UPDATES_PER_SECOND,
+    });
   }
 
   /** Builds what a message to this VM carries. */
@@ -211,9 +222,11 @@
   }
 
   #collectNews(extent: GossipExtent): VmUpdate[] {
+    const wanted = Math.min(MAXIMUM_UPDATES, this.#updates.size);
+    const count = this.#budget.take(wanted);
     return extent === GossipExtent.Extra
-      ? this.#updates.peek(MAXIMUM_UPDATES)
-      : this.#updates.take(MAXIMUM_UPDATES, this.#transmissionLimit());
+      ? this.#updates.peek(count)
+      : this.#updates.take(count, this.#transmissionLimit());
   }
 
   /** What the recipient itself must hear: of this VM, and of doubts in it. */
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -15,6 +15,7 @@
 const OTHER_ZONE = "zone-b";
 const DETECTION_MILLISECONDS = 3_000;
 const SETTLE_MILLISECONDS = 8_000;
+const CONTROL_BYTES_PER_SECOND = 16_384;
 const REJOIN_MILLISECONDS = 6_000;
 
 /** Runs a test against a fleet, and ends the fleet's tasks afterwards. */
@@ -42,17 +43,31 @@
   return vms;
 }
 
-/** Collects the names of the VMs that any of the observers holds dead. */
-function collectDeaths(observers: readonly TestVm[]): Set<VmId> {
-  const deaths = new Set<VmId>();
+/** Collects the names of the VMs of which any observer hears such a change. */
+function collectChanges(
+  observers: readonly TestVm[],
+  kind: MembershipChangeKind,
+): Set<VmId> {
+  const names = new Set<VmId>();
   for (const { membership, stop } of observers) {
     membership.changes.listen((change) => {
-      if (change.kind === MembershipChangeKind.Died) {
-        deaths.add(change.contact.vm);
+      if (change.kind === kind) {
+        names.add(change.contact.vm);
       }
     }, stop.signal);
   }
-  return deaths;
+  return names;
+}
+
+function collectDeaths(observers: readonly TestVm[]): Set<VmId> {
+  return collectChanges(observers, MembershipChangeKind.Died);
+}
+
+function sumBytes(fleet: TestFleet, vms: readonly TestVm[]): number {
+  return vms.reduce(
+    (sum, vm) => sum + fleet.network.countTraffic(vm.contact.vm).bytes,
+    0,
+  );
 }
 
 function createTerm(number: number): PoolTerm {
@@ -93,6 +108,16 @@
         expect([...deaths]).to.deep.equal([]);
       }));
 
+    it("stops suspecting VMs once it knows how slow they are", () =>
+      runWithFleet({ seed: 20 }, async (fleet) => {
+        const vms = await startSettledZone(fleet, 10);
+        vms.slice(0, 5).forEach((vm) => fleet.slow(vm, 200));
+        await fleet.clock.advance(10_000);
+        const suspected = collectChanges(vms, MembershipChangeKind.Suspected);
+        await fleet.clock.advance(10_000);
+        expect([...suspected]).to.deep.equal([]);
+      }));
+
     it("keeps all VMs while a tenth of the messages is lost", () =>
       runWithFleet({ seed: 6, lossFraction: 0.1 }, async (fleet) => {
         const vms = await startSettledZone(fleet, 10);
@@ -300,6 +325,25 @@
       });
     });
 
+    it("keeps its traffic bounded while half the zone is slow", async () => {
+      const options: TestFleetOptions = {
+        seed: 19,
+        lossFraction: 0.01,
+        measure: (message) => encodeMessage(message).length,
+      };
+      await runWithFleet(options, async (fleet) => {
+        const vms = await startSettledZone(fleet, 40);
+        for (const vm of vms.slice(0, 20)) {
+          fleet.slow(vm, fleet.random.nextInteger(100, 900));
+        }
+        await fleet.clock.advance(20_000);
+        const before = sumBytes(fleet, vms);
+        await fleet.clock.advance(10_000);
+        const sent = (sumBytes(fleet, vms) - before) / vms.length;
+        expect(sent / 10).to.be.below(CONTROL_BYTES_PER_SECOND);
+      });
+    });
+
     it("costs a VM the same in a zone of 4 and of 20 VMs", async () => {
       const rates: number[] = [];
       for (const count of [4, 20]) {
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -15,12 +15,18 @@
   WaitOutcome,
 } from "./answer_waits.ts";
 import { GossipExtent, type GossipSpread } from "./gossip_spread.ts";
+import { Patience } from "./patience.ts";
 import type { MembershipSettings } from "./settings.ts";
+import { TokenBucket } from "./token_bucket.ts";
 import type { VmRecord, VmTable } from "./vm_table.ts";
 
 /** Sequence of probes whose answer nobody waits for. */
 export const UNAWAITED_SEQUENCE = 0;
 
+/** Bounds how often others are asked to probe, to feed no overload. */
+const BURST_INDIRECT_ROUNDS = 15;
+const INDIRECT_ROUNDS_PER_SECOND = 2;
+
 /** What probes need. */
 export interface ProberOptions {
   self: VmContact;
@@ -36,10 +42,17 @@
 /** Runs one task for each VM that is being probed. */
 export class Prober {
   readonly #options: ProberOptions;
+  readonly #patience = new Patience();
+  readonly #indirectRounds: TokenBucket;
   readonly #probed = new Set<VmId>();
 
   constructor(options: ProberOptions) {
     this.#options = options;
+    this.#indirectRounds = new TokenBucket({
+      clock: options.clock,
+      burst: BURST_INDIRECT_ROUNDS,
+      perSecond: INDIRECT_ROUNDS_PER_SECOND,
+    });
   }
 
   /** Probes a VM of the own zone until it has answered or is held dead. */
@@ -125,20 +138,30 @@
 
   async #probeWith(wait: AnswerWait, target: VmContact): Promise<void> {
     const { probeTimeoutMilliseconds } = this.#options.settings;
+    const timeout = this.#patience.computeTimeout(probeTimeoutMilliseconds);
     this.#sendRegular(target, wait.sequence);
-    const direct = await wait.wait(probeTimeoutMilliseconds);
+    const direct = await wait.wait(timeout);
+    if (direct === WaitOutcome.Answered) {
+      this.#patience.addTimely();
+    }
     if (direct !== WaitOutcome.TimedOut) {
       return;
     }
     this.#askOthers(target, wait.sequence);
-    const indirect = await wait.wait(probeTimeoutMilliseconds);
-    if (indirect === WaitOutcome.TimedOut) {
-      await this.#watch(target, wait);
+    const indirect = await wait.wait(timeout);
+    const outcome = indirect === WaitOutcome.TimedOut
+      ? await this.#watch(target, wait)
+      : indirect;
+    if (outcome === WaitOutcome.Answered) {
+      this.#patience.addLate();
     }
   }
 
   #askOthers(target: VmContact, sequence: number): void {
     const { self, table, random, sender, settings } = this.#options;
+    if (this.#indirectRounds.take(1) === 0) {
+      return;
+    }
     const others = table.listZone(self.zone).filter((record) =>
       record.state === VmState.Live && record.contact.vm !== target.vm
     );
@@ -157,11 +180,14 @@
   }
 
   /** Tells the suspect of the suspicion, and gives it time to refute it. */
-  async #watch(target: VmContact, wait: AnswerWait): Promise<void> {
+  async #watch(
+    target: VmContact,
+    wait: AnswerWait,
+  ): Promise<WaitOutcome> {
     const { table, gossip, settings } = this.#options;
     const record = table.find(target.vm);
     if (record === undefined) {
-      return;
+      return WaitOutcome.Closed;
     }
     const { incarnation } = record;
     gossip.apply({ contact: target, state: VmState.Suspect, incarnation });
@@ -173,11 +199,12 @@
       const isObsolete = record.incarnation !== incarnation ||
         record.state === VmState.Dead;
       if (isObsolete || isFinal(outcome)) {
-        return;
+        return outcome;
       }
       unanswered = outcome === WaitOutcome.Paused ? 0 : unanswered + 1;
     }
     this.#declareDead(record);
+    return WaitOutcome.TimedOut;
   }
 
   #declareDead(record: VmRecord): void {
--- a/packages/membership/src/testing/measure_membership.ts
+++ b/packages/membership/src/testing/measure_membership.ts
@@ -2,12 +2,15 @@
 
 import process from "node:process";
 import { encodeMessage, type Message } from "@rattanvane/protocol";
+import { MembershipChangeKind } from "../zone_view.ts";
 import { listLiveNames, TestFleet, type TestVm } from "./test_fleet.ts";
 
 const LOSS_FRACTION = 0.01;
 const SETTLE_MILLISECONDS = 10_000;
 const QUIET_MILLISECONDS = 60_000;
 const MEASURED_MILLISECONDS = 30_000;
+const SHORTEST_HANDLING_MILLISECONDS = 100;
+const OVERLOAD_MILLISECONDS = 10_000;
 const STEP_MILLISECONDS = 20;
 const LONGEST_DETECTION_MILLISECONDS = 20_000;
 const RECOVERY_MILLISECONDS = 500;
@@ -110,6 +113,74 @@
   await fleet.clock.advance(RECOVERY_MILLISECONDS);
 }
 
+/** Measures how long VMs that start together take to find each other. */
+async function measureStart(count: number, seed: number): Promise<void> {
+  const fleet = new TestFleet({
+    seed,
+    lossFraction: LOSS_FRACTION,
+    measure: measureSize,
+  });
+  const vms = fleet.startZone(count);
+  let elapsed = 0;
+  while (vms.some((vm) => listLiveNames(vm).length < count)) {
+    await fleet.clock.advance(STEP_MILLISECONDS);
+    elapsed += STEP_MILLISECONDS;
+  }
+  const sent = vms.map((vm) => fleet.network.countTraffic(vm.contact.vm).bytes);
+  const sum = sent.reduce((total, bytes) => total + bytes, 0);
+  console.log(
+    `${count} VMs started together: all known after ${elapsed} ms; sent a ` +
+      `VM ${format(sum / count)} bytes, largest ${Math.max(...sent)} bytes`,
+  );
+  fleet.stop();
+}
+
+/** Measures a zone where half the VMs take long to handle each message. */
+async function measureOverload(
+  count: number,
+  options: { seed: number; longestMilliseconds: number },
+): Promise<void> {
+  const fleet = new TestFleet({
+    seed: options.seed,
+    lossFraction: LOSS_FRACTION,
+    measure: measureSize,
+  });
+  const vms = fleet.startZone(count);
+  await fleet.clock.advance(SETTLE_MILLISECONDS);
+  const counts = { suspected: 0, died: 0 };
+  for (const { membership, stop } of vms) {
+    membership.changes.listen(({ kind }) => {
+      counts.suspected += kind === MembershipChangeKind.Suspected ? 1 : 0;
+      counts.died += kind === MembershipChangeKind.Died ? 1 : 0;
+    }, stop.signal);
+  }
+  for (const vm of vms.slice(0, count / 2)) {
+    const handling = fleet.random.nextInteger(
+      SHORTEST_HANDLING_MILLISECONDS,
+      options.longestMilliseconds,
+    );
+    fleet.slow(vm, handling);
+  }
+  await fleet.clock.advance(SETTLE_MILLISECONDS);
+  const before = sumBytes(fleet, vms);
+  await fleet.clock.advance(OVERLOAD_MILLISECONDS);
+  const rate = (sumBytes(fleet, vms) - before) / count /
+    (OVERLOAD_MILLISECONDS / 1_000);
+  console.log(
+    `${count} VMs, half of them slow by up to ` +
+      `${options.longestMilliseconds} ms: sent a VM ${format(rate)} bytes/s; ` +
+      `${counts.suspected} suspicions heard, ${counts.died} deaths`,
+  );
+  fleet.stop();
+}
+
+function sumBytes(fleet: TestFleet, vms: readonly TestVm[]): number {
+  return vms.reduce(
+    (sum, vm) => sum + fleet.network.countTraffic(vm.contact.vm).bytes,
+    0,
+  );
+}
+
 function measureSize(message: Message): number {
   return encodeMessage(message).length;
 }
@@ -136,6 +207,10 @@
 for (const count of [2, 4, 20, 84]) {
   await measureTraffic(count, seed);
 }
+await measureStart(4, seed);
+await measureStart(84, seed);
+await measureOverload(84, { seed, longestMilliseconds: 300 });
+await measureOverload(84, { seed, longestMilliseconds: 900 });
 await measureDetection(2, { seed, killed: 1, rounds: 100 });
 await measureDetection(4, { seed, killed: 1, rounds: 100 });
 await measureDetection(20, { seed, killed: 1, rounds: 100 });
--- a/packages/membership/src/urgent_spread.ts
+++ b/packages/membership/src/urgent_spread.ts
@@ -1,6 +1,7 @@
 /** Spreads news that should not wait for the next probe. */
 
 import { type Clock, Deferred } from "@rattanvane/base";
+import { TokenBucket } from "./token_bucket.ts";
 
 /** How many VMs hear urgent news at once. */
 const FAN_OUT = 3;
@@ -11,8 +12,8 @@
 /** How many rounds may follow each other closely. */
 const BURST_ROUNDS = 30;
 
-/** How often a further round is allowed, so that an overload is not fed. */
-const ROUND_REFILL_MILLISECONDS = 500;
+/** How many rounds are allowed in the long run, to feed no overload. */
+const ROUNDS_PER_SECOND = 2;
 
 /** What the spread of urgent news needs. */
 export interface UrgentSpreadOptions {
@@ -24,13 +25,16 @@
 /** Sends a few messages when asked to, in a bounded number of rounds. */
 export class UrgentSpread {
   readonly #options: UrgentSpreadOptions;
+  readonly #rounds: TokenBucket;
   #requested = new Deferred<void>();
-  #rounds = BURST_ROUNDS;
-  #refilledAt: number;
 
   constructor(options: UrgentSpreadOptions) {
     this.#options = options;
-    this.#refilledAt = options.clock.now();
+    this.#rounds = new TokenBucket({
+      clock: options.clock,
+      burst: BURST_ROUNDS,
+      perSecond: ROUNDS_PER_SECOND,
+    });
   }
 
   /** Asks for a round. */
@@ -57,14 +61,9 @@
 
   /** Sends unless too many rounds were sent; the probes carry it then. */
   #sendRound(): void {
-    const now = this.#options.clock.now();
-    const refill = (now - this.#refilledAt) / ROUND_REFILL_MILLISECONDS;
-    this.#rounds = Math.min(BURST_ROUNDS, this.#rounds + refill);
-    this.#refilledAt = now;
-    if (this.#rounds < 1) {
+    if (this.#rounds.take(1) === 0) {
       return;
     }
-    this.#rounds--;
     for (let count = 0; count < FAN_OUT; count++) {
       this.#options.send();
     }
