Follow batched costs in the scheduler's measurement

Cause: the merge of the measurement met the batched progress message. Change: the measurement sends a batch of one.

--- a/packages/bench/src/slopes/scheduler.ts
+++ b/packages/bench/src/slopes/scheduler.ts
@@ -167,8 +167,7 @@
     this.#scheduler.handle(VM, {
       kind: MessageKind.Progress,
       pool: POOL,
-      attempt,
-      cost: cost / 2,
+      attempts: [{ attempt, cost: cost / 2 }],
     });
     this.#scheduler.handle(VM, {
       kind: MessageKind.Finish,
