Refuse callers' keys that carry no date unless operators allow them

Cause: the settings of calls that must not be repeated had no effect, and an undated key ran again after a week: at most once did not hold for ever. Ruled out: remembering undated keys for ever (no table of bounded size can).

--- a/packages/router/src/caller/caller_error.ts
+++ b/packages/router/src/caller/caller_error.ts
@@ -90,7 +90,7 @@
   },
   [CallerErrorKind.IdempotencyKeyRefused]: {
     status: 409,
-    remedy: "use a new key for a new call",
+    remedy: "use a new key only for a call that is new",
   },
   [CallerErrorKind.QueueFull]: {
     status: 429,
@@ -122,12 +122,12 @@
   },
   [CallerErrorKind.CallNotRun]: {
     status: 503,
-    remedy: "send the call again with the same key; while the platform is " +
-      "down, use one from POST /v1/keys",
+    remedy: "send the call again with the same key",
   },
   [CallerErrorKind.CallUnknown]: {
     status: 502,
-    remedy: "find out whether the call took effect before using a new key",
+    remedy: "send it again with the same key to learn more; use a new key " +
+      "only once you know that it did not take effect",
   },
   [CallerErrorKind.ShuttingDown]: {
     status: 503,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -389,6 +389,7 @@
       clock,
       random: this.random,
       logger: logger.forPart("once"),
+      limits: settings.once,
     }, this.#signal);
   }
 
--- a/packages/settings/src/tuning_sections.ts
+++ b/packages/settings/src/tuning_sections.ts
@@ -1,5 +1,6 @@
 /** The sections of the settings that have defaults throughout. */
 
+import { z } from "zod";
 import { buildFraction, buildInteger, buildSection } from "./schema_parts.ts";
 
 const MINUTE_MILLISECONDS = 60_000;
@@ -7,9 +8,9 @@
 const DAY_MILLISECONDS = 24 * HOUR_MILLISECONDS;
 const KIBIBYTE = 1_024;
 const MEBIBYTE = 1_024 * KIBIBYTE;
-const MOST_ROWS_IN_A_TRANSACTION = 100;
 
 const shortTime = buildInteger({ least: 1, most: 10 * MINUTE_MILLISECONDS });
+const retention = buildInteger({ least: 1_000, most: 30 * DAY_MILLISECONDS });
 const longTime = buildInteger({ least: 1, most: DAY_MILLISECONDS });
 
 /** Builds the section that bounds what one VM holds for callers. */
@@ -102,15 +103,19 @@
 /** Builds the section on calls that must not be repeated. */
 export function buildOnceSection() {
   return buildSection({
-    retentionMilliseconds: buildInteger({
-      least: 1_000,
-      most: 30 * DAY_MILLISECONDS,
-    }).default(DAY_MILLISECONDS)
-      .describe("How long a key and its result are kept."),
-    batchMilliseconds: buildInteger({ least: 0, most: 1_000 }).default(5)
+    requireDatedKeys: z.boolean("true or false").default(true).describe(
+      "Whether a caller's key must be a UUIDv7. Without its date, a key that " +
+        "is used again after undatedRetentionMilliseconds runs again.",
+    ),
+    keyWindowMilliseconds: retention.default(DAY_MILLISECONDS).describe(
+      "The age, by its own date, at which a caller's key is refused.",
+    ),
+    undatedRetentionMilliseconds: retention.default(7 * DAY_MILLISECONDS)
+      .describe("How long the use of a key without a date is remembered."),
+    resultRetentionMilliseconds: retention.default(HOUR_MILLISECONDS)
+      .describe("How long the result of a key's call is kept."),
+    batchMilliseconds: buildInteger({ least: 0, most: 1_000 }).default(20)
       .describe("How long a row waits for others to be written with it."),
-    batchRows: buildInteger({ least: 1, most: MOST_ROWS_IN_A_TRANSACTION })
-      .default(50).describe("The most rows that are written at once."),
   }).prefault({});
 }
 
