--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -160,6 +160,16 @@
     return live;
   }
 
+  override listAnswering(zone: ZoneId): VmContact[] {
+    const answering = this.#table.listZone(zone)
+      .filter((record) => isAnswering(record.state))
+      .map((record) => record.contact);
+    if (zone === this.#self.contact.zone) {
+      answering.push(this.#self.contact);
+    }
+    return answering;
+  }
+
   override findContact(vm: VmId): VmContact | undefined {
     if (vm === this.#self.contact.vm) {
       return this.#self.contact;
--- a/packages/membership/src/zone_view.ts
+++ b/packages/membership/src/zone_view.ts
@@ -36,6 +36,12 @@
    */
   abstract listLive(zone: ZoneId): VmContact[];
 
+  /**
+   * Lists a zone's VMs that may still hold requests, in no order: the live,
+   * the suspected and those that leave.
+   */
+  abstract listAnswering(zone: ZoneId): VmContact[];
+
   /** Finds how a VM is reached, whatever its state. */
   abstract findContact(vm: VmId): VmContact | undefined;
 }
--- a/packages/once/src/key_forwarder.ts
+++ b/packages/once/src/key_forwarder.ts
@@ -115,9 +115,6 @@
     const endsAt = clock.now() + this.#options.timeoutMilliseconds;
     let pause = resendMilliseconds;
     while (clock.now() < endsAt) {
-      if (!isLive(home)) {
-        return `the VM "${home}", which alone may run this key, is gone`;
-      }
       if (signals.caller.aborted || this.#signal.aborted) {
         return "the call was given up while another VM had it";
       }
@@ -130,6 +127,10 @@
       if (signals.finished.aborted) {
         break;
       }
+      // Asked after a try, since a home may just have come back.
+      if (!isLive(home)) {
+        return `the VM "${home}", which alone may run this key, is gone`;
+      }
     }
     return `the VM "${home}", which alone may run this key, did not answer`;
   }
--- a/packages/router/src/caller/answer.ts
+++ b/packages/router/src/caller/answer.ts
@@ -146,12 +146,10 @@
     if (this.#response.destroyed) {
       return;
     }
-    this.#response.write(part);
-    while (
-      this.#response.writableLength > this.#limits.bufferBytes &&
-      !this.#response.destroyed
-    ) {
-      await this.#waitForDrain();
+    const taken = new AbortController();
+    this.#response.write(part, () => taken.abort());
+    if (this.#response.writableLength > this.#limits.bufferBytes) {
+      await this.#waitUntilTaken(taken.signal);
     }
   }
 
@@ -165,7 +163,11 @@
     this.#response.destroy();
   }
 
-  async #waitForDrain(): Promise<void> {
+  /**
+   * Waits until the caller has taken all parts so far or is gone. Node.js's
+   * own drain event does not come for less than its own buffer.
+   */
+  async #waitUntilTaken(taken: AbortSignal): Promise<void> {
     const closed = new AbortController();
     const stop = () => closed.abort();
     const stalled = setTimeout(
@@ -173,14 +175,12 @@
       this.#limits.stallMilliseconds,
     );
     this.#response.once("close", stop);
-    try {
-      await once(this.#response, "drain", { signal: closed.signal });
-    } catch {
-      // The caller is gone; the next write sees it.
-    } finally {
-      clearTimeout(stalled);
-      this.#response.off("close", stop);
+    const either = AbortSignal.any([taken, closed.signal]);
+    if (!either.aborted && !this.#response.destroyed) {
+      await once(either, "abort");
     }
+    clearTimeout(stalled);
+    this.#response.off("close", stop);
   }
 
   #setHeaders(headers: readonly HttpHeader[]): void {
--- a/packages/router/src/host/fleet_view.ts
+++ b/packages/router/src/host/fleet_view.ts
@@ -65,7 +65,13 @@
     if (vm === self.vm) {
       return true;
     }
-    return view.findContact(vm) !== undefined && !isDisconnected(vm);
+    const contact = view.findContact(vm);
+    if (contact === undefined || isDisconnected(vm)) {
+      return false;
+    }
+    // Of other zones only some VMs are known, so silence there says nothing.
+    return contact.zone !== self.zone ||
+      view.listAnswering(self.zone).some((answering) => answering.vm === vm);
   }
 
   override isSuperseded(pool: PoolId, term: Term): boolean {
@@ -80,7 +86,8 @@
 
   /** The VMs that the scheduler of an own pool works with. */
   findPeers(pool: PoolId): PoolPeers {
-    const ingresses = this.#options.view.listLive(pool.zone)
+    // A VM that leaves still has requests that wait and run.
+    const ingresses = this.#options.view.listAnswering(pool.zone)
       .map((contact) => contact.vm);
     const siblings = this.#listPools(pool.service)
       .filter((other) => other.zone !== pool.zone)
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -82,7 +82,7 @@
   readonly terms = new TermBook();
   readonly ledger = new CallLedger();
   readonly store = new ConfigurationStore();
-  readonly links = new LinkStates();
+  readonly links: LinkStates;
   readonly random: RandomSource;
   readonly self: VmContact;
   readonly suspects: SuspectRegistry;
@@ -108,6 +108,7 @@
     this.#options = options;
     this.#signal = signal;
     this.self = createContact(settings);
+    this.links = new LinkStates(clock);
     this.random = new RandomSource(settings.seed ?? randomInt(HIGHEST_SEED));
     this.suspects = new SuspectRegistry(clock, {
       ...DEFAULT_SUSPECT_SETTINGS,
@@ -352,7 +353,7 @@
       process: this.#options.settings.vm + randomUUID(),
       sender: this.network,
       clock: this.#options.clock,
-      isLive: (vm) => this.membership.findContact(vm) !== undefined,
+      isLive: (vm) => this.view.isReachable(vm),
       runForwarded,
       timeoutMilliseconds: KEY_FORWARD_TIMEOUT_MILLISECONDS,
       resendMilliseconds: KEY_FORWARD_RESEND_MILLISECONDS,
--- a/packages/scheduling/src/ownership/testing/ownership_fleet.ts
+++ b/packages/scheduling/src/ownership/testing/ownership_fleet.ts
@@ -70,6 +70,10 @@
     return [...this.live];
   }
 
+  override listAnswering(zone: ZoneId): VmContact[] {
+    return this.listLive(zone);
+  }
+
   override findContact(vm: VmId): VmContact | undefined {
     return this.live.find((contact) => contact.vm === vm);
   }
