Prove that callers get the whole answer, with real processes

Cause: crossed, doubled, late and cut answers, reset connections, crashed and unreachable engines, a killed VM and slow callers were not proved together.

Seen to fail before the changes, each by its test: - a stream whose resume was refused was told as not_run, and its engine was not suspected, since the refused resume took back the attempt that had run ("no engine can go on", also seen with the code reverted) - an engine that is down behind a proxy resets the retry as well; the second loss was counted as a second crash and the request quarantined ("crashes in the middle", 1 of 2 runs). A suspect now waits until it is known whether the endpoint is down - an attempt that was given up freed the scheduler's slot before the engine's; by reading, no test of its own but the count of overloads

--- a/packages/bench/src/proofs/whole_answer_test.ts
+++ b/packages/bench/src/proofs/whole_answer_test.ts
@@ -141,8 +141,13 @@
     expect(record.verdict).to.equal(CallVerdict.Broken);
     expect(record.problem).to.include('"kind"');
     expect(record.problem).to.include('"remedy"');
+    expect(record.problem).to.include('"outcome":"unknown"');
   }).timeout(40_000);
 
+  it("gave no engine more than it bears", async () => {
+    expect(await proof.sumEngines("overloads")).to.equal(0);
+  });
+
   it("holds no more than its buffer for a slow caller", async () => {
     const prompt = "slow caller";
     const before = await proof.sumEngines("completed");
--- a/packages/limits/src/crash_evidence.ts
+++ b/packages/limits/src/crash_evidence.ts
@@ -101,6 +101,14 @@
     }
   }
 
+  /**
+   * Whether an endpoint has just lost attempts and may be down: another loss
+   * there would be counted as a second crash.
+   */
+  isUndecided(endpoint: EndpointId): boolean {
+    return this.#lost.has(endpoint);
+  }
+
   /** How many of a body's lost attempts are undecided. */
   countUndecided(fingerprint: string): number {
     let count = 0;
--- a/packages/router/src/ingress/attempt.ts
+++ b/packages/router/src/ingress/attempt.ts
@@ -10,7 +10,11 @@
 import { AttemptOutcome } from "@rattanvane/protocol";
 import { err, type Result } from "neverthrow";
 import type { AttemptEnvironment } from "./attempt_environment.ts";
-import { convertOutcome } from "./attempt_outcome.ts";
+import {
+  convertOutcome,
+  convertResumeError,
+  isNotRun,
+} from "./attempt_outcome.ts";
 import type { CurrentAttempt, LedgerEntry } from "./ledger_entry.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -89,8 +93,11 @@
       { attempt, offset },
       signal,
     );
-    this.#note(response);
-    return response;
+    // The attempt has run in any case, also when it can't be resumed.
+    if (response.isOk()) {
+      this.#bootId = response.value.bootId;
+    }
+    return response.mapErr(convertResumeError);
   }
 
   /** Notes that the first part of the answer is here. */
@@ -139,6 +146,17 @@
     this.finish(convertOutcome(error));
   }
 
+  /**
+   * The same, but frees the endpoint's slot before the scheduler's: an attempt
+   * that broke off may run on, and the scheduler fills the slot at once.
+   */
+  async stopWithError(error: EndpointError): Promise<void> {
+    if (!isNotRun(error)) {
+      await this.cancel(new AbortController().signal);
+    }
+    this.finishWithError(error);
+  }
+
   /** Tells the endpoint that nobody waits for the attempt any more. */
   async cancel(signal: AbortSignal): Promise<void> {
     const endpoint = this.#environment.findEndpoint(this.#current.endpoint);
--- a/packages/router/src/ingress/attempt_outcome.ts
+++ b/packages/router/src/ingress/attempt_outcome.ts
@@ -36,3 +36,15 @@
     thrown,
   );
 }
+
+/** Turns the failure of a resume into that of the stream, which has run. */
+export function convertResumeError(error: EndpointError): EndpointError {
+  if (!isNotRun(error)) {
+    return error;
+  }
+  return new EndpointError(
+    EndpointErrorKind.Lost,
+    `The stream broke off and can't be resumed: ${error.message}`,
+    error,
+  );
+}
--- a/packages/router/src/ingress/completion_run.ts
+++ b/packages/router/src/ingress/completion_run.ts
@@ -84,7 +84,7 @@
     this.#startAttempt(attempt);
     const error = await this.#resumeUntilEnd(attempt, signal);
     if (error !== undefined) {
-      attempt.finishWithError(error);
+      await attempt.stopWithError(error);
       await sink.fail(
         new CallerError(
           CallerErrorKind.StreamGone,
@@ -107,7 +107,7 @@
       body: encodeEngineBody(request, this.#delivered),
     }, signal);
     if (opened.isErr()) {
-      attempt.finishWithError(opened.error);
+      await attempt.stopWithError(opened.error);
       return opened.error;
     }
     try {
@@ -124,7 +124,7 @@
       return await this.#abandon(attempt);
     }
     if (error !== undefined) {
-      attempt.finishWithError(error);
+      await attempt.stopWithError(error);
       return error;
     }
     await this.#complete(attempt);
@@ -145,8 +145,9 @@
 
   /** The caller is gone: frees the engine's slot and the scheduler's. */
   async #abandon(attempt: Attempt): Promise<undefined> {
-    attempt.finish(AttemptOutcome.Cancelled);
+    // First the engine's slot: the scheduler would fill it at once.
     await attempt.cancel(new AbortController().signal);
+    attempt.finish(AttemptOutcome.Cancelled);
     return undefined;
   }
 
@@ -242,7 +243,7 @@
   ): Promise<EndpointError | undefined> {
     if (!(thrown instanceof RejectedByEngine)) {
       const error = convertBodyError(thrown);
-      attempt.finishWithError(error);
+      await attempt.stopWithError(error);
       return error;
     }
     attempt.finish(AttemptOutcome.Completed);
--- a/packages/scheduling/src/pool/placement.ts
+++ b/packages/scheduling/src/pool/placement.ts
@@ -50,7 +50,8 @@
 ): Placement | undefined {
   let best: PoolEndpoint | undefined;
   for (const endpoint of state.endpoints.list()) {
-    if (!state.endpoints.canRunAlone(endpoint)) {
+    const mayBeDown = state.evidence.isUndecided(endpoint.name);
+    if (mayBeDown || !state.endpoints.canRunAlone(endpoint)) {
       continue;
     }
     const isWelcome = !entry.avoid.includes(endpoint.name);
