--- a/packages/base/src/common/product_error.ts
+++ b/packages/base/src/common/product_error.ts
@@ -13,11 +13,14 @@
 /** An error with a kind; its message ends with the remedy. */
 export class ProductError<Kind extends string = string> extends Error {
   readonly kind: Kind;
+  /** The message without its remedy. */
+  readonly problem: string;
   readonly remedy: string;
 
   constructor(options: ProductErrorOptions<Kind>) {
     super(`${options.problem}; ${options.remedy}`, { cause: options.cause });
     this.kind = options.kind;
+    this.problem = options.problem;
     this.remedy = options.remedy;
   }
 }
--- a/packages/once/src/testing/once_fleet.ts
+++ b/packages/once/src/testing/once_fleet.ts
@@ -200,6 +200,7 @@
       sender,
       clock,
       isLive: (vm) => !this.dead.has(vm),
+      isReachable: () => true,
       runForwarded: (call, signal) => {
         const job = new TextDecoder().decode(call.body);
         return calls.run(call, this.endpoint.createExecute(job), signal);
--- a/packages/router/src/ingress/once_call_runner.ts
+++ b/packages/router/src/ingress/once_call_runner.ts
@@ -136,11 +136,11 @@
 /** Returns the answer of a call that ran; throws a CallerError otherwise. */
 function readAnswer(result: KeyedCallResult): PlainAnswer {
   if (result.isErr()) {
-    throw new CallerError(
-      CallerErrorKind.IdempotencyKeyRefused,
-      result.error.message,
-      { outcome: OUTCOMES[result.error.outcome] },
-    );
+    const { problem, remedy, outcome } = result.error;
+    throw new CallerError(CallerErrorKind.IdempotencyKeyRefused, problem, {
+      remedy,
+      outcome: OUTCOMES[outcome],
+    });
   }
   const { execution } = result.value;
   switch (execution.kind) {
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -39,7 +39,6 @@
 import { CallerServer } from "./caller/caller_server.ts";
 import { LivenessHandler, ReadinessHandler } from "./caller/health_handlers.ts";
 import { MetricsHandler, StatusHandler } from "./caller/operator_handlers.ts";
-import { DeadVms } from "./host/dead_vms.ts";
 import { FleetView } from "./host/fleet_view.ts";
 import { createKeyCleaner } from "./host/key_cleaner.ts";
 import { LinkStates } from "./host/link_states.ts";
@@ -86,8 +85,7 @@
   readonly terms = new TermBook();
   readonly ledger = new CallLedger();
   readonly store = new ConfigurationStore();
-  readonly links = new LinkStates();
-  readonly dead = new DeadVms();
+  readonly links: LinkStates;
   readonly random: RandomSource;
   readonly self: VmContact;
   readonly suspects: SuspectRegistry;
@@ -115,6 +113,7 @@
     this.#options = options;
     this.#signal = signal;
     this.self = createContact(settings);
+    this.links = new LinkStates(clock);
     this.random = new RandomSource(settings.seed ?? randomInt(HIGHEST_SEED));
     this.suspects = new SuspectRegistry(clock, {
       ...DEFAULT_SUSPECT_SETTINGS,
@@ -258,8 +257,7 @@
       terms: this.terms,
       view: this.membership,
       findConfiguration: () => this.findConfiguration(),
-      isUnreachable: (vm) =>
-        this.links.isDisconnected(vm) || this.dead.isDead(vm),
+      isDisconnected: (vm) => this.links.isDisconnected(vm),
     });
   }
 
@@ -367,7 +365,8 @@
       process: this.#options.settings.vm + randomUUID(),
       sender: this.network,
       clock: this.#options.clock,
-      isLive: (vm) => !this.dead.isDead(vm),
+      isLive: (vm) => this.view.isLive(vm),
+      isReachable: (vm) => this.view.isReachable(vm),
       runForwarded,
       timeoutMilliseconds: KEY_FORWARD_TIMEOUT_MILLISECONDS,
       resendMilliseconds: KEY_FORWARD_RESEND_MILLISECONDS,
--- a/packages/settings/src/tuning_sections.ts
+++ b/packages/settings/src/tuning_sections.ts
@@ -56,11 +56,11 @@
 /** Builds the section on failure detection. */
 export function buildMembershipSection() {
   return buildSection({
-    probePeriodMilliseconds: shortTime.default(500)
+    probePeriodMilliseconds: shortTime.default(200)
       .describe("The time between two probes that this VM sends."),
-    probeTimeoutMilliseconds: shortTime.default(250)
+    probeTimeoutMilliseconds: shortTime.default(150)
       .describe("How long a probe waits before other VMs are asked to probe."),
-    suspicionMilliseconds: shortTime.default(1_500)
+    suspicionMilliseconds: shortTime.default(1_050)
       .describe("How long a suspected VM may refute before it counts as dead."),
     indirectProbes: buildInteger({ least: 0, most: 20 }).default(3)
       .describe("How many other VMs are asked to probe a silent one."),
