--- a/packages/bench/src/fleet/fleet_options.ts
+++ b/packages/bench/src/fleet/fleet_options.ts
@@ -71,7 +71,7 @@
     routerSettings: {},
     routerProgram: RATTANVANE_PROGRAM,
     fleetKey: "a fleet key that is used in tests only",
-    operatorKey: "an operator's key that is used in tests only",
+    operatorKey: "operator-key-that-is-used-in-tests-only",
     logLevel: "info",
     seed: 1,
     ...changes,
