--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -22,6 +22,7 @@
   type VmId,
 } from "@rattanvane/protocol";
 import type { CallLedger } from "./call_ledger.ts";
+import { CostReporter } from "./cost_reporter.ts";
 import {
   CallPhase,
   type GrantAnswer,
@@ -31,7 +32,6 @@
 
 const SWEEP_MILLISECONDS = 250;
 const REPORT_AGAIN_MILLISECONDS = 10_000;
-const PROGRESS_MILLISECONDS = 1_000;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
 /** What the dispatcher works with. */
@@ -56,7 +56,6 @@
 /** Speaks to the schedulers for the requests in the ledger. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  readonly #reportedCosts = new Map<string, number>();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -99,7 +98,6 @@
     entry.current = undefined;
     entry.phase = CallPhase.Idle;
     entry.pool = undefined;
-    this.#reportedCosts.delete(current.attempt);
     const scheduler = this.#options.directory.findScheduler(current.pool);
     if (scheduler === undefined) {
       return;
@@ -166,31 +164,28 @@
 
   /** Repeats what a VM may have missed while its link was down. */
   followLink(vm: VmId): void {
-    for (const { pool, scheduler } of this.#listScheduled()) {
+    for (
+      const { pool, scheduler } of this.#options.ledger.listScheduledPools()
+    ) {
       if (scheduler === vm) {
         this.reportPool(pool, vm);
       }
     }
   }
 
-  /** Looks after waiting requests and reports costs until the abort. */
+  /** Looks after waiting requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let progressAt = 0;
+    const costs = new CostReporter(this.#options);
+    await Promise.all([this.#runSweeps(signal), costs.run(signal)]);
+  }
+
+  async #runSweeps(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#options.clock.sleep(SWEEP_MILLISECONDS, signal);
       this.#sweepWaiting();
-      const now = this.#options.clock.now();
-      if (now - progressAt >= PROGRESS_MILLISECONDS) {
-        progressAt = now;
-        this.#reportProgress();
-      }
     }
   }
 
-  #listScheduled() {
-    return this.#options.ledger.listScheduledPools();
-  }
-
   /** Asks a scheduler for a place; the sweep tries again when there is none. */
   #route(entry: LedgerEntry): void {
     const { directory, sender, clock, self } = this.#options;
@@ -277,6 +272,8 @@
       endpoint: grant.endpoint,
       pool: grant.pool,
       cost: 0,
+      reportedCost: grant.chargedCost,
+      reportedAt: this.#options.clock.now(),
     };
     this.#log(entry, "was granted an endpoint", {
       attempt: grant.attempt,
@@ -359,27 +356,6 @@
     }
   }
 
-  #reportProgress(): void {
-    const { ledger, directory, sender } = this.#options;
-    for (const { current } of ledger.listPhase(CallPhase.Running)) {
-      if (current === undefined) {
-        continue;
-      }
-      const reported = this.#reportedCosts.get(current.attempt) ?? 0;
-      const scheduler = directory.findScheduler(current.pool);
-      if (current.cost === reported || scheduler === undefined) {
-        continue;
-      }
-      this.#reportedCosts.set(current.attempt, current.cost);
-      sender.send(scheduler, {
-        kind: MessageKind.Progress,
-        pool: current.pool,
-        attempt: current.attempt,
-        cost: current.cost,
-      });
-    }
-  }
-
   #log(
     entry: LedgerEntry,
     sentence: string,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -83,6 +83,7 @@
     this.#runTask("configuration peer", this.#parts.peer.run(signal));
     this.#runTask("configuration watcher", this.#parts.watcher.run(signal));
     this.#runTask("dispatcher", this.#parts.dispatcher.run(signal));
+    this.#runTask("key cleaner", this.#parts.keyCleaner.run(signal));
     this.#runTask(
       "VM list reader",
       runVmListReader({
@@ -103,10 +104,11 @@
   }
 
   #connectParts(): void {
-    const { links, network, dispatcher, store, host, terms, membership } =
+    const { links, dead, network, dispatcher, store, host, terms, membership } =
       this.#parts;
     const { signal } = this.#lifetime;
     const reconnected = (vm: string) => dispatcher.followLink(vm);
+    dead.follow(membership, signal);
     links.follow(network, { reconnected }, signal);
     store.changed.listen((configuration) => {
       host.updateConfiguration(configuration);
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -20,10 +20,11 @@
   Membership,
 } from "@rattanvane/membership";
 import {
+  type CollectedRowWriter,
   generateKeySecret,
   KeyedCalls,
   KeyForwarder,
-  LocalRowWriter,
+  type RowCleaner,
 } from "@rattanvane/once";
 import { HttpEndpointClient } from "@rattanvane/platform";
 import { PeerNetwork, type VmContact } from "@rattanvane/protocol";
@@ -38,7 +39,9 @@
 import { CallerServer } from "./caller/caller_server.ts";
 import { LivenessHandler, ReadinessHandler } from "./caller/health_handlers.ts";
 import { MetricsHandler, StatusHandler } from "./caller/operator_handlers.ts";
+import { DeadVms } from "./host/dead_vms.ts";
 import { FleetView } from "./host/fleet_view.ts";
+import { createKeyCleaner } from "./host/key_cleaner.ts";
 import { LinkStates } from "./host/link_states.ts";
 import { LoadPoller } from "./host/load_poller.ts";
 import { MessageSwitch } from "./host/message_switch.ts";
@@ -50,6 +53,7 @@
 import { listZonePools } from "./host/service_pools.ts";
 import { RouterGossip } from "./host/router_gossip.ts";
 import { RouterState } from "./host/router_state.ts";
+import { createRowWriter } from "./host/row_writer.ts";
 import { SchedulerHost } from "./host/scheduler_host.ts";
 import { BudgetedRetryPolicy } from "./ingress/budgeted_retry_policy.ts";
 import { CallLedger } from "./ingress/call_ledger.ts";
@@ -83,6 +87,7 @@
   readonly ledger = new CallLedger();
   readonly store = new ConfigurationStore();
   readonly links = new LinkStates();
+  readonly dead = new DeadVms();
   readonly random: RandomSource;
   readonly self: VmContact;
   readonly suspects: SuspectRegistry;
@@ -98,6 +103,8 @@
   readonly dispatcher: Dispatcher;
   readonly metrics: RouterMetrics;
   readonly keyedCalls: KeyedCalls;
+  readonly keyCleaner: RowCleaner;
+  readonly rowWriter: CollectedRowWriter;
   readonly server: CallerServer;
   readonly #options: RouterPartsOptions;
   readonly #signal: AbortSignal;
@@ -147,6 +154,13 @@
     const forwarder = this.#createForwarder((call, lifetime) =>
       runner.runForwarded(call, lifetime)
     );
+    this.rowWriter = createRowWriter(settings, { ...this, clock }, signal);
+    this.keyCleaner = createKeyCleaner({
+      ...this,
+      clock,
+      logger: logger.forPart("once"),
+      findConfiguration: () => this.findConfiguration(),
+    });
     this.keyedCalls = this.#createKeyedCalls(forwarder);
     const runner = new OnceCallRunner({ context, calls: this.keyedCalls });
     this.server = this.#createServer(context, runner);
@@ -244,7 +258,8 @@
       terms: this.terms,
       view: this.membership,
       findConfiguration: () => this.findConfiguration(),
-      isDisconnected: (vm) => this.links.isDisconnected(vm),
+      isUnreachable: (vm) =>
+        this.links.isDisconnected(vm) || this.dead.isDead(vm),
     });
   }
 
@@ -352,7 +367,7 @@
       process: this.#options.settings.vm + randomUUID(),
       sender: this.network,
       clock: this.#options.clock,
-      isLive: (vm) => this.membership.findContact(vm) !== undefined,
+      isLive: (vm) => !this.dead.isDead(vm),
       runForwarded,
       timeoutMilliseconds: KEY_FORWARD_TIMEOUT_MILLISECONDS,
       resendMilliseconds: KEY_FORWARD_RESEND_MILLISECONDS,
@@ -369,13 +384,7 @@
       secret: generateKeySecret(),
       table,
       objects,
-      writer: new LocalRowWriter({
-        table,
-        clock,
-        random: this.random,
-        writer: `${settings.vm}/${incarnation}`,
-        batchMilliseconds: settings.once.batchMilliseconds,
-      }, this.#signal),
+      writer: this.rowWriter,
       forwarder,
       clock,
       random: this.random,
