--- a/packages/bench/src/slopes/message_slopes.ts
+++ b/packages/bench/src/slopes/message_slopes.ts
@@ -11,14 +11,16 @@
   createSampleContact,
   createSampleCounters,
   createSampleMessages,
+  createSampleProgress,
   createSampleReport,
 } from "./sample_messages.ts";
 import type { Slope, SlopePoint } from "./slope.ts";
 
 const MESSAGE_COUNTS = [500, 2000, 8000];
 const ORGANISATION_COUNTS = [12, 120, 1200];
+const ATTEMPT_COUNTS = [10, 100, 1000];
 const ENTRY_COUNTS = [10, 100, 1000];
-const REPEATS = 30;
+const REPEATS = 200;
 /** What a link may hold at once; well under its queue's limit. */
 const BATCH_BYTES = 20_000;
 const HOST = "127.0.0.1";
@@ -115,6 +117,12 @@
     }));
   }
   slopes.push(
+    ...await measureContents(pair, {
+      name: "a charge in a batch",
+      sizeUnit: "attempt",
+      sizes: ATTEMPT_COUNTS,
+      create: createSampleProgress,
+    }),
     ...await measureContents(pair, {
       name: "an organisation in a counter message",
       sizeUnit: "organisation",
--- a/packages/bench/src/slopes/router_slopes.ts
+++ b/packages/bench/src/slopes/router_slopes.ts
@@ -3,6 +3,7 @@
 import { setMaxListeners } from "node:events";
 import { type Clock, SystemClock } from "@rattanvane/base";
 import { type BenchFleet, startBenchFleet } from "../scenarios/bench_fleet.ts";
+import { computeMean } from "../scenarios/figure.ts";
 import {
   readRouterUsage,
   type RouterUsage,
@@ -10,10 +11,14 @@
 import { runClosedLoop } from "../load/load_loops.ts";
 import { LoadTally } from "../load/load_tally.ts";
 import type { FleetRouter } from "../fleet/fleet_router.ts";
-import type { FleetOrganisation } from "../fleet/fleet_options.ts";
+import type {
+  FleetOptions,
+  FleetOrganisation,
+} from "../fleet/fleet_options.ts";
 import type { Slope, SlopePoint } from "./slope.ts";
 
 const HELD_COUNTS = [500, 1000, 2000];
+const ENGINE_COUNTS = [2, 8, 16];
 const STREAM_COUNTS = [16, 32, 64];
 const WAITING_REQUESTS = 20_000;
 const SLOTS = 64;
@@ -39,9 +44,15 @@
 export async function measureRouterSlopes(
   signal: AbortSignal,
 ): Promise<Slope[]> {
-  const held = await runOnStage(SLOTS, measureHeld, signal);
-  const tokens = await runOnStage(SLOTS, measureTokens, signal);
-  const requests = await runOnStage(SLOTS, measureRequests, signal);
+  const held = await runOnStage({}, measureHeld, signal);
+  const tokens = await runOnStage({}, measureTokens, signal);
+  const requests = await runOnStage({}, measureRequests, signal);
+  const polled: SlopePoint[] = [];
+  for (const size of ENGINE_COUNTS) {
+    const changes = { enginesPerZone: size };
+    const { processor } = await runOnStage(changes, measureRest, signal);
+    polled.push({ size, value: computeMean(processor.map(readValue)) });
+  }
   return [
     {
       name: "memory of the process with requests held, waiting",
@@ -55,6 +66,12 @@
       unit: "us/s",
       points: held.processor,
     },
+    {
+      name: "a router at rest that reads load reports",
+      sizeUnit: "endpoint",
+      unit: "us/s",
+      points: polled,
+    },
     {
       name: "streams passed on",
       sizeUnit: "token/s",
@@ -62,7 +79,7 @@
       points: tokens.processor,
     },
     {
-      name: "control sent to itself is not counted; a request of 4 tokens",
+      name: "requests of 4 tokens served",
       sizeUnit: "request/s",
       unit: "us/s",
       points: requests.processor,
@@ -76,7 +93,7 @@
 }
 
 async function runOnStage(
-  slots: number,
+  changes: Partial<FleetOptions>,
   measure: (stage: Stage, signal: AbortSignal) => Promise<StagePoints>,
   signal: AbortSignal,
 ): Promise<StagePoints> {
@@ -88,12 +105,13 @@
       routersPerZone: 1,
       logLevel: "warn",
       engine: {
-        "slots": slots,
-        "cold-slots": slots,
+        "slots": SLOTS,
+        "cold-slots": SLOTS,
         "token-ms": TOKEN_MILLISECONDS,
       },
-      engineLimits: { coldLimit: slots, limitCeiling: slots },
+      engineLimits: { coldLimit: SLOTS, limitCeiling: SLOTS },
       routerSettings: { limits: { waitingRequests: WAITING_REQUESTS } },
+      ...changes,
     },
   }, signal);
   try {
@@ -110,6 +128,20 @@
   }
 }
 
+/** A router that nobody calls. */
+async function measureRest(
+  stage: Stage,
+  signal: AbortSignal,
+): Promise<StagePoints> {
+  const usage = await measureUsage(stage, signal);
+  const value = usage.microsecondsPerSecond;
+  return { processor: [{ size: 0, value }], memory: [] };
+}
+
+function readValue({ value }: SlopePoint): number {
+  return value;
+}
+
 /** Requests that wait, beside as many long answers as there are slots. */
 async function measureHeld(
   stage: Stage,
--- a/packages/bench/src/slopes/sample_messages.ts
+++ b/packages/bench/src/slopes/sample_messages.ts
@@ -65,14 +65,10 @@
       request: REQUEST,
       attempt: ATTEMPT,
       endpoint: ENDPOINT,
+      chargedCost: 2048,
       reason: PlacementReason.LeastLoaded,
     },
-    "a charge (progress)": {
-      kind: MessageKind.Progress,
-      pool,
-      attempt: ATTEMPT,
-      cost: 4321,
-    },
+    "a charge alone in its message": createSampleProgress(1),
     "a finish": {
       kind: MessageKind.Finish,
       pool,
@@ -88,6 +84,18 @@
   };
 }
 
+/** A progress message that charges so many running attempts. */
+export function createSampleProgress(attempts: number): Message {
+  return {
+    kind: MessageKind.Progress,
+    pool: SAMPLE_POOL,
+    attempts: Array.from({ length: attempts }, (_, index) => ({
+      attempt: `vm-a012-1f3c9a7e-${String(index).padStart(6, "0")}-1`,
+      cost: 4000 + index,
+    })),
+  };
+}
+
 /** A counter message with the totals of so many organisations. */
 export function createSampleCounters(organisations: number): Message {
   return {
