--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -78,6 +78,7 @@
       console.log(`${formatReport(report)}\n`);
     }
   }
+  end.abort();
   if (options.json) {
     console.log(JSON.stringify(reports, undefined, 2));
   }
@@ -98,6 +99,7 @@
       console.log(`${group.name}\n${formatSlopes(slopes)}\n`);
     }
   }
+  end.abort();
   if (options.json) {
     console.log(JSON.stringify(all, undefined, 2));
   }
--- a/packages/bench/src/scenarios/zone_loss_scenario.ts
+++ b/packages/bench/src/scenarios/zone_loss_scenario.ts
@@ -18,7 +18,8 @@
 import { CallVerdict } from "../load/call_record.ts";
 
 const TARGET = 0.95;
-const CLIENTS_EACH = 36;
+/** For each organisation in each zone. */
+const CLIENTS_EACH = 14;
 const WARM_UP_MILLISECONDS = 6000;
 const MILLISECONDS_PER_SECOND = 1000;
 const AFTER_SECONDS = 10;
@@ -31,6 +32,8 @@
 interface Phase {
   /** Second by second. */
   left: readonly number[];
+  /** Of the zone that left, by its own callers. */
+  inside: readonly number[];
   returned: readonly number[];
   startedAway: number;
   failed: number;
@@ -47,6 +50,12 @@
   override readonly baseline = ROUND_ROBIN_BASELINE;
   protected abstract readonly proxied: boolean;
 
+  /** What the zone itself is expected to do while it is away. */
+  protected abstract buildInsideFigures(
+    product: Phase,
+    baseline: Phase,
+  ): Figure[];
+
   /** Takes the zone away from the routers. */
   protected abstract leave(
     bench: BenchFleet,
@@ -88,7 +97,8 @@
         leave: (zone) => this.updateBaseline(bench, [zone], signal),
         comeBack: () => this.updateBaseline(bench, [], signal),
       }, signal);
-      return buildFigures(product, baseline);
+      const inside = this.buildInsideFigures(product, baseline);
+      return buildFigures(product, baseline, inside);
     } finally {
       await bench.stop();
     }
@@ -99,9 +109,22 @@
 export class ZoneDrainScenario extends ZoneLossScenario {
   override readonly name = "zone-drain";
   override readonly description =
-    "service while a zone is drained and returns, load at the other zones";
+    "service while a zone is drained and returns, callers at all VMs";
   protected override readonly proxied = false;
 
+  protected override buildInsideFigures(
+    product: Phase,
+    baseline: Phase,
+  ): Figure[] {
+    return [{
+      name: "requests started in it from 3 s on",
+      unit: "requests",
+      value: product.startedAway,
+      baseline: baseline.startedAway,
+      target: { kind: TargetKind.AtMost, value: 0 },
+    }];
+  }
+
   protected override async leave(
     bench: BenchFleet,
     zone: string,
@@ -132,9 +155,27 @@
 export class ZoneCutScenario extends ZoneLossScenario {
   override readonly name = "zone-cut";
   override readonly description =
-    "service of the other zones while a zone is cut off and rejoins";
+    "service inside and outside while a zone is cut off and rejoins";
   protected override readonly proxied = true;
 
+  protected override buildInsideFigures(
+    product: Phase,
+    baseline: Phase,
+  ): Figure[] {
+    return [{
+      name: "slots used in it by its own callers, 10 s after the cut",
+      unit: "fraction",
+      value: computeMean(product.inside),
+      baseline: computeMean(baseline.inside),
+      target: { kind: TargetKind.AtLeast, value: TARGET },
+    }, {
+      name: "the worst second of these",
+      unit: "fraction",
+      value: Math.min(...product.inside),
+      baseline: Math.min(...baseline.inside),
+    }];
+  }
+
   protected override async leave(
     bench: BenchFleet,
     zone: string,
@@ -156,7 +197,11 @@
   }
 }
 
-function buildFigures(product: Phase, baseline: Phase): Figure[] {
+function buildFigures(
+  product: Phase,
+  baseline: Phase,
+  others: readonly Figure[],
+): Figure[] {
   const atLeast = { kind: TargetKind.AtLeast, value: TARGET };
   const none = { kind: TargetKind.AtMost, value: 0 };
   return [
@@ -173,6 +218,7 @@
       value: Math.min(...product.left),
       baseline: Math.min(...baseline.left),
     },
+    ...others,
     {
       name: "slots used everywhere, 10 s after it returned",
       unit: "fraction",
@@ -186,13 +232,6 @@
       value: Math.min(...product.returned),
       baseline: Math.min(...baseline.returned),
     },
-    {
-      name: "requests started in it from 3 s on",
-      unit: "requests",
-      value: product.startedAway,
-      baseline: baseline.startedAway,
-      target: none,
-    },
     {
       name: "calls without a whole answer",
       unit: "calls",
@@ -217,11 +256,12 @@
     clock,
     seed,
     tally,
-    urls: entries.filter((entry) => entry.zone !== zone).map(({ url }) => url),
+    entries,
   }, signal);
   await clock.sleep(WARM_UP_MILLISECONDS, signal);
   await leave(zone);
   const left = measureUse(bench, staying, signal);
+  const inside = measureUse(bench, [zone], signal);
   await clock.sleep(IN_FORCE_MILLISECONDS, signal);
   const before = await bench.countStarted([zone]);
   const leftUse = await left;
@@ -232,32 +272,38 @@
   await load;
   return {
     left: leftUse,
+    inside: await inside,
     returned,
     startedAway,
     failed: tally.records.length - tally.count(CallVerdict.Whole),
   };
 }
 
-/** Keeps both organisations backlogged at the VMs of the staying zones. */
+/** Keeps both organisations backlogged in every zone, by its own VMs. */
 async function startLoad(
   bench: BenchFleet,
   options: {
     clock: ScenarioOptions["clock"];
     seed: number;
     tally: LoadTally;
-    urls: readonly string[];
+    entries: readonly EntryPoint[];
   },
   signal: AbortSignal,
 ): Promise<void> {
   const durationMilliseconds = WARM_UP_MILLISECONDS + AWAY_MILLISECONDS +
     AFTER_MILLISECONDS + SETTLE_MILLISECONDS;
-  const loops = bench.fleet.parts.options.organisations.map((organisation) =>
-    runClosedLoop(
-      bench.createSource(organisation, { urls: options.urls }),
-      { ...options, durationMilliseconds, clients: CLIENTS_EACH },
-      signal,
-    )
-  );
+  const { zones, organisations } = bench.fleet.parts.options;
+  const loops = zones.flatMap((zone) => {
+    const urls = options.entries.filter((entry) => entry.zone === zone)
+      .map(({ url }) => url);
+    return organisations.map((organisation) =>
+      runClosedLoop(
+        bench.createSource(organisation, { urls }),
+        { ...options, durationMilliseconds, clients: CLIENTS_EACH },
+        signal,
+      )
+    );
+  });
   await Promise.all(loops);
 }
 
