Close gaps that random faults found

Ruled out: repeating every lost grant (the endpoint may have restarted since). Change: work that begins after an idle time stays within the cold limit until the boot is seen to be the same (progress carries the boot id); foreign load is the peak of three reports; a request whose grant nobody answers for gets a second turn; the handover tells of foreign load.

--- a/packages/bench/src/slopes/scheduler.ts
+++ b/packages/bench/src/slopes/scheduler.ts
@@ -169,6 +169,7 @@
       pool: POOL,
       attempt,
       cost: cost / 2,
+      bootId: "b",
     });
     this.#scheduler.handle(VM, {
       kind: MessageKind.Finish,
--- a/packages/limits/src/endpoint_limit.ts
+++ b/packages/limits/src/endpoint_limit.ts
@@ -34,6 +34,10 @@
   #trial: AttemptId | undefined;
   #handedOver: EndpointLimitState | undefined;
   #resetAt = -Infinity;
+  /** When work began after the endpoint was last idle. */
+  #busySince = -Infinity;
+  /** The newest time at which the endpoint is known to have had this boot. */
+  #provenAt = -Infinity;
   #sampledAt = -Infinity;
 
   constructor(options: EndpointLimitOptions) {
@@ -42,7 +46,7 @@
     this.#settings = settings;
     this.#clock = clock;
     this.#leased = options.leased;
-    this.#work = new OutstandingWork(settings, options);
+    this.#work = new OutstandingWork(settings);
     this.#growth = new LimitGrowth(settings, { ...options, now: clock.now() });
     this.#health = new EndpointHealth(settings, options);
     this.#share = new CautiousShare(settings, options.self);
@@ -70,6 +74,11 @@
     return this.#boot.bootId;
   }
 
+  /** When the endpoint was last seen to have started anew, in clock time. */
+  get resetAt(): number {
+    return this.#resetAt;
+  }
+
   /** When the newest report's figures were taken, in clock time. */
   get sampledAt(): number {
     return this.#sampledAt;
@@ -104,7 +113,7 @@
     if (state === EndpointState.HalfOpen) {
       return this.#trial === undefined ? 1 : 0;
     }
-    const limit = Math.min(cap, this.limit);
+    const limit = Math.min(cap, this.#isProven ? this.limit : this.coldLimit);
     return Math.max(0, this.#computeRoom(limit) - this.outstanding);
   }
 
@@ -117,14 +126,20 @@
     if (this.#health.state === EndpointState.HalfOpen) {
       this.#trial ??= attempt;
     }
+    if (this.#work.own === 0) {
+      this.#busySince = this.#clock.now();
+    }
     this.#work.add(attempt, this.#clock.now());
     this.#growth.recordOutstanding(this.outstanding);
     this.#updateShare();
   }
 
-  /** Takes in bytes that an attempt has delivered. */
-  recordProgress(): void {
+  /** Takes in bytes that an attempt has delivered, and of which boot. */
+  recordProgress(bootId: string): EndpointNews {
     this.#health.recordAlive();
+    return this.#learnBoot(bootId) === BootVerdict.Restarted
+      ? EndpointNews.Restarted
+      : EndpointNews.Nothing;
   }
 
   /** Stops counting an attempt and learns from its end. */
@@ -139,13 +154,10 @@
     if (startedAt === undefined) {
       return EndpointNews.Nothing;
     }
-    const verdict = this.#boot.updateBootId(end.bootId);
+    const verdict = this.#learnBoot(end.bootId);
     if (verdict === BootVerdict.Former) {
       return EndpointNews.Nothing;
     }
-    if (verdict === BootVerdict.Restarted) {
-      this.#reset(now);
-    }
     const isLate = startedAt <= this.#resetAt;
     const news = this.#learnFromEnd(end, { isLate, now });
     return verdict === BootVerdict.Restarted ? EndpointNews.Restarted : news;
@@ -207,8 +219,17 @@
 
   /** What the next scheduler should know. */
   describeState(): EndpointLimitState {
-    const { endpoint, bootId, limit } = this;
-    return { endpoint, bootId, limit };
+    const { endpoint, bootId, limit, foreign } = this;
+    return { endpoint, bootId, limit, foreign };
+  }
+
+  /**
+   * An endpoint that starts anew while nothing runs there does not show it. So
+   * work that begins after an idle time stays within the cold limit until the
+   * boot is seen to be the same; from then on, a restart breaks connections.
+   */
+  get #isProven(): boolean {
+    return this.#work.own > 0 && this.#provenAt > this.#busySince;
   }
 
   #computeRoom(limit: number): number {
@@ -228,6 +249,19 @@
     return foreign < limit ? 1 : 0;
   }
 
+  /** Takes in the boot that an attempt was answered by. */
+  #learnBoot(bootId: string): BootVerdict {
+    const now = this.#clock.now();
+    const verdict = this.#boot.updateBootId(bootId);
+    if (verdict === BootVerdict.Restarted) {
+      this.#reset(now);
+    }
+    if (verdict === BootVerdict.Same && bootId !== "") {
+      this.#provenAt = now;
+    }
+    return verdict;
+  }
+
   #updateShare(): void {
     const now = this.#clock.now();
     this.#share.updateOwn(this.#work.own, { limit: this.limit, now });
@@ -277,6 +311,10 @@
     if (this.#health.state !== EndpointState.Up) {
       this.#growth.recordStart(seen.now);
     }
+    if (this.bootId === "") {
+      // An endpoint without boot ids gives no better proof.
+      this.#provenAt = seen.now;
+    }
     this.#health.recordSuccess();
     this.#growth.recordCompletion(end.firstByteMilliseconds, seen.now);
   }
@@ -297,6 +335,7 @@
     });
     const slack = this.#settings.reportSlackMilliseconds;
     if (sampledAt - slack > this.#resetAt) {
+      this.#provenAt = Math.max(this.#provenAt, sampledAt - slack);
       this.#growth.recordReport(report, now);
       this.#applyHandedOver(now);
     }
--- a/packages/limits/src/endpoint_limit_test.ts
+++ b/packages/limits/src/endpoint_limit_test.ts
@@ -59,7 +59,7 @@
   it("takes a handed-over limit only for the same boot", () => {
     for (const bootId of ["b1", "b0"]) {
       const { limit } = createFixture();
-      limit.restore({ endpoint: "e", bootId, limit: 16 });
+      limit.restore({ endpoint: "e", bootId, limit: 16, foreign: 0 });
       expect(limit.limit).to.equal(2);
       limit.receiveReport(createReport());
       expect(limit.limit).to.equal(bootId === "b1" ? 16 : 2);
@@ -119,7 +119,7 @@
     const { clock, limit } = createFixture();
     for (let poll = 0; poll < 20; poll++) {
       await clock.advance(1000);
-      limit.recordProgress();
+      limit.recordProgress("b1");
       limit.markUnreachable();
     }
     expect(limit.state).to.equal(EndpointState.Up);
@@ -128,7 +128,7 @@
   it("does not call an endpoint dead that delivered just now", async () => {
     const { clock, limit } = createFixture();
     await clock.advance(60_000);
-    limit.recordProgress();
+    limit.recordProgress("b1");
     for (let poll = 0; poll < 10; poll++) {
       await clock.advance(100);
       limit.markUnreachable();
@@ -138,7 +138,7 @@
 
   it("calls an endpoint dead that is silent", async () => {
     const { clock, limit } = createFixture();
-    limit.recordProgress();
+    limit.recordProgress("b1");
     for (let poll = 0; poll < 5; poll++) {
       await clock.advance(1000);
       limit.markUnreachable();
--- a/packages/limits/src/endpoint_restart_test.ts
+++ b/packages/limits/src/endpoint_restart_test.ts
@@ -10,6 +10,7 @@
   INTERVAL,
   runRounds,
   startAll,
+  startWarm,
 } from "./testing/endpoint_limit_fixture.ts";
 
 interface RestartCase {
@@ -62,7 +63,7 @@
       const fixture = createFixture();
       fixture.limit.receiveReport(createReport());
       await runRounds(fixture, { rounds: 3 });
-      const started = startAll(fixture.limit);
+      const started = await startWarm(fixture);
       expect(restart(fixture.limit, started[0] as string)).to.equal(news);
       expect(fixture.limit.limit).to.equal(2);
       expect(fixture.limit.freeSlots).to.equal(0);
@@ -83,7 +84,7 @@
   it("takes no figures from before a reset connection", async () => {
     const fixture = createFixture();
     await runRounds(fixture, { rounds: 3 });
-    const [attempt] = startAll(fixture.limit);
+    const [attempt] = await startWarm(fixture);
     const outcome = AttemptOutcome.EndpointLost;
     fixture.limit.finishAttempt(attempt as string, createEnd({ outcome }));
     const lagging = createReport({ running: 16, ageMilliseconds: 300 });
@@ -103,11 +104,44 @@
     }
   });
 
+  it("begins within the cold limit after an idle time", async () => {
+    const fixture = createFixture();
+    const { clock, limit } = fixture;
+    await runRounds(fixture, { rounds: 3 });
+    for (const isReport of [false, true]) {
+      expect(limit.limit).to.equal(16);
+      await clock.advance(1);
+      const started = startAll(limit);
+      expect(started).to.have.lengthOf(2);
+      await clock.advance(400);
+      if (isReport) {
+        limit.receiveReport(createReport({ running: 2 }));
+      } else {
+        limit.recordProgress("b1");
+      }
+      expect(limit.freeSlots).to.equal(14);
+      started.forEach((attempt) => limit.finishAttempt(attempt, createEnd()));
+    }
+  });
+
+  it("takes no sign of life of another boot for a proof", async () => {
+    const fixture = createFixture();
+    await runRounds(fixture, { rounds: 3 });
+    await fixture.clock.advance(1);
+    startAll(fixture.limit);
+    await fixture.clock.advance(100);
+    fixture.limit.recordProgress("");
+    expect(fixture.limit.freeSlots).to.equal(0);
+    const news = fixture.limit.recordProgress("b2");
+    expect(news).to.equal(EndpointNews.Restarted);
+    expect(fixture.limit.limit).to.equal(2);
+  });
+
   it("does not double past the limit at which it fell over", async () => {
     const fixture = createFixture();
     await runRounds(fixture, { rounds: 3 });
     const outcome = AttemptOutcome.EndpointLost;
-    for (const attempt of startAll(fixture.limit)) {
+    for (const attempt of await startWarm(fixture)) {
       fixture.limit.finishAttempt(attempt, createEnd({ outcome }));
     }
     const limits = await runRounds(fixture, { rounds: 5 });
--- a/packages/limits/src/limit_growth_test.ts
+++ b/packages/limits/src/limit_growth_test.ts
@@ -8,6 +8,7 @@
   INTERVAL,
   runRounds,
   startAll,
+  startWarm,
 } from "./testing/endpoint_limit_fixture.ts";
 
 describe("EndpointLimit growth", () => {
@@ -59,7 +60,7 @@
   it("backs off on refusals, then adds one a round", async () => {
     const fixture = createFixture();
     await runRounds(fixture, { rounds: 3 });
-    const [attempt] = startAll(fixture.limit);
+    const [attempt] = await startWarm(fixture);
     const outcome = AttemptOutcome.EndpointRefused;
     fixture.limit.finishAttempt(attempt as string, createEnd({ outcome }));
     expect(fixture.limit.limit).to.equal(12);
--- a/packages/limits/src/outstanding_work.ts
+++ b/packages/limits/src/outstanding_work.ts
@@ -6,7 +6,10 @@
 /** A slot that is used again so soon has not been empty. */
 const REPLACED_MILLISECONDS = 10;
 
-/** Reports in a row that must miss an attempt. */
+/**
+ * Reports in a row that must miss an attempt, or someone else's request, before
+ * it is taken for ended: one report may catch a slot between two attempts.
+ */
 const REPORTS_UNTIL_ABSENT = 3;
 
 interface CountChange {
@@ -26,29 +29,21 @@
 /**
  * Attempts that this scheduler counts, orphans whose ingress died, and foreign
  * requests that only reports show. A report is compared with the counts around
- * the moment at which it was taken, since it lags. Where the counts changed
- * around it, a scheduler with a lease takes the difference for its own work;
- * one without keeps what it knew of others as far as that is possible.
+ * the moment at which it was taken, since it lags. Where our own counts changed
+ * around it, what was known of others is kept as far as that is possible.
  */
 export class OutstandingWork {
   readonly #settings: EndpointLimitSettings;
-  readonly #leased: boolean;
   readonly #attempts = new Map<AttemptId, number>();
   #history: CountChange[] = [];
   #orphans = 0;
   #orphanedAt = 0;
-  #foreign = 0;
-  #foreignAt = 0;
   #isSure = false;
   #absent: number[] = [];
   #foreignHistory: CountChange[] = [];
 
-  constructor(
-    settings: EndpointLimitSettings,
-    options: { leased: boolean },
-  ) {
+  constructor(settings: EndpointLimitSettings) {
     this.#settings = settings;
-    this.#leased = options.leased;
   }
 
   /** Attempts that this scheduler has granted and not seen end. */
@@ -88,23 +83,18 @@
     }
   }
 
-  /** Requests of others; a figure that is too old counts as none. */
+  /** Requests of others; figures that are too old count as none. */
   countForeign(now: number): number {
-    const age = now - this.#foreignAt;
-    return age <= this.#settings.reportFreshMilliseconds ? this.#foreign : 0;
+    const since = now - this.#settings.reportFreshMilliseconds;
+    const recent = this.#foreignHistory.slice(-REPORTS_UNTIL_ABSENT);
+    return computePeak(recent.filter(({ at }) => at >= since));
   }
 
-  /**
-   * The most requests of others that reports showed lately. A single report
-   * may catch a moment in which the other side's slots change hands.
-   */
+  /** The most requests of others that any report showed lately. */
   countPeakForeign(now: number): number {
     const since = now - this.#settings.aloneMilliseconds;
-    this.#foreignHistory = this.#foreignHistory.filter(({ at }) => at >= since);
-    return this.#foreignHistory.reduce(
-      (peak, { count }) => Math.max(peak, count),
-      this.countForeign(now),
-    );
+    const recent = this.#foreignHistory.filter(({ at }) => at >= since);
+    return Math.max(this.countForeign(now), computePeak(recent));
   }
 
   /** Whether the last report left no doubt of how many are foreign. */
@@ -142,12 +132,11 @@
     const rest = sample.requests - this.#orphans;
     const least = Math.max(0, rest - Math.max(...around));
     const most = Math.max(0, rest - Math.min(...around));
-    const kept = this.#leased ? 0 : Math.min(this.countForeign(now), most);
-    this.#foreign = Math.max(least, kept);
-    this.#foreignAt = now;
-    if (!this.#leased) {
-      this.#foreignHistory.push({ at: now, count: this.#foreign });
-    }
+    const kept = Math.min(this.#foreignHistory.at(-1)?.count ?? 0, most);
+    const count = Math.max(least, kept);
+    this.#foreignHistory.push({ at: now, count });
+    const since = now - this.#settings.reportFreshMilliseconds;
+    this.#foreignHistory = this.#foreignHistory.filter(({ at }) => at >= since);
     this.#isSure = least === most;
     this.#forgetBefore(sample.sampledAt - 2 * slack);
   }
@@ -186,3 +175,7 @@
     }
   }
 }
+
+function computePeak(changes: readonly CountChange[]): number {
+  return changes.reduce((peak, { count }) => Math.max(peak, count), 0);
+}
--- a/packages/limits/src/testing/endpoint_limit_fixture.ts
+++ b/packages/limits/src/testing/endpoint_limit_fixture.ts
@@ -74,6 +74,14 @@
   return started;
 }
 
+/** Starts attempts up to the limit once the first ones have shown life. */
+export async function startWarm(fixture: Fixture): Promise<string[]> {
+  const first = startAll(fixture.limit);
+  await fixture.clock.advance(1);
+  fixture.limit.recordProgress("b1");
+  return [...first, ...startAll(fixture.limit)];
+}
+
 /** Runs rounds of full use, each longer than the growth interval. */
 export async function runRounds(
   fixture: Fixture,
@@ -81,7 +89,7 @@
 ): Promise<number[]> {
   const limits: number[] = [];
   for (let round = 0; round < options.rounds; round++) {
-    const started = startAll(fixture.limit);
+    const started = await startWarm(fixture);
     await fixture.clock.advance(INTERVAL);
     for (const attempt of started) {
       fixture.limit.finishAttempt(attempt, createEnd(options.end));
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -101,6 +101,8 @@
   attempt: AttemptId;
   /** All cost units of the attempt so far. */
   cost: number;
+  /** The endpoint's boot id as its answer told it; empty when unknown. */
+  bootId: string;
 }
 
 /** How an attempt ended, as the ingress saw it. */
@@ -185,6 +187,8 @@
   endpoint: EndpointId;
   bootId: string;
   limit: number;
+  /** Requests that the scheduler does not know, as reports show them. */
+  foreign: number;
 }
 
 /** A running attempt as one scheduler passes it to the next. */
@@ -200,6 +204,7 @@
   /** The lowest backlogged counter. */
   virtualTime: number;
   counters: VirtualCounter[];
+  /** None while the sender does not know yet what is running. */
   limits: EndpointLimitState[];
   /** Every attempt that is running or on its way, of all zones' ingresses. */
   running: HandedAttempt[];
--- a/packages/scheduling/src/pool/attempt_ends.ts
+++ b/packages/scheduling/src/pool/attempt_ends.ts
@@ -35,9 +35,12 @@
       return;
     }
     grant.lastNewsAt = this.#state.now;
+    grant.reportedCost = message.cost;
     const cost = Math.max(grant.charge.amount, message.cost);
     this.#state.queue.fair.updateCharge(grant.charge, cost);
-    this.#state.endpoints.find(grant.endpoint)?.limit.recordProgress();
+    const endpoint = this.#state.endpoints.find(grant.endpoint);
+    const news = endpoint?.limit.recordProgress(message.bootId);
+    this.applyNews(grant.endpoint, news ?? EndpointNews.Nothing);
   }
 
   /** Settles an attempt that has ended. */
@@ -53,10 +56,26 @@
     this.applyNews(grant.endpoint, news);
   }
 
-  /** Gives back the slot of a grant that was not used. */
+  /**
+   * Sends a grant again that its ingress does not know of. One that a former
+   * scheduler sent cannot be repeated, and one from before the endpoint's start
+   * must not be: the cold endpoint may not bear it. Its slot is given back.
+   */
+  repeatGrant(grant: RunningGrant): boolean {
+    const resetAt = this.#state.endpoints.find(grant.endpoint)?.limit.resetAt;
+    const isOutdated = resetAt === undefined || resetAt >= grant.grantedAt;
+    if (grant.message === undefined || isOutdated) {
+      this.release(grant);
+      return false;
+    }
+    this.#state.options.sender.send(grant.ingress, grant.message);
+    return true;
+  }
+
+  /** Gives back the slot of an attempt that does not run, or no longer. */
   release(grant: RunningGrant): void {
     this.#state.attempts.remove(grant.attempt);
-    this.#state.queue.fair.updateCharge(grant.charge, 0);
+    this.#state.queue.fair.updateCharge(grant.charge, grant.reportedCost);
     this.#finishAtEndpoint(grant, {
       outcome: AttemptOutcome.Cancelled,
       firstByteMilliseconds: 0,
@@ -86,10 +105,12 @@
   }
 
   /**
-   * Orphans attempts of which neither the ingress nor the endpoint speaks: the
-   * message of their end was lost, as in a cut between zones.
+   * Handles attempts of which neither the ingress nor the endpoint speaks: a
+   * message was lost, as in a cut between zones. The request gets a second turn:
+   * an ingress that still waits uses the new grant, and one that is done declines
+   * it. After that the attempt becomes an orphan.
    */
-  orphanAbsent(endpoint: EndpointId, count: number): void {
+  settleAbsent(endpoint: EndpointId, count: number): void {
     if (count === 0) {
       return;
     }
@@ -101,6 +122,9 @@
     silent.sort((first, second) => first.lastNewsAt - second.lastNewsAt);
     for (const grant of silent.slice(0, count)) {
       this.orphan(grant);
+      if (grant.waiting !== undefined && !grant.waiting.isSecondTurn) {
+        this.#state.queue.addAgain(grant.waiting);
+      }
     }
   }
 
--- a/packages/scheduling/src/pool/attempt_table.ts
+++ b/packages/scheduling/src/pool/attempt_table.ts
@@ -9,6 +9,7 @@
   RequestId,
   VmId,
 } from "@rattanvane/protocol";
+import type { WaitingEntry } from "./pool_queue.ts";
 
 /** A granted attempt of which the end is not known yet. */
 export interface RunningGrant {
@@ -24,6 +25,10 @@
   /** The message, to be sent again; undefined for one taken over. */
   readonly message: GrantMessage | undefined;
   lastNewsAt: number;
+  /** The cost that its ingress has reported so far. */
+  reportedCost: number;
+  /** What was granted; unknown for an attempt that was taken over. */
+  waiting: WaitingEntry | undefined;
 }
 
 /** Finds attempts by their id, request and ingress. */
--- a/packages/scheduling/src/pool/entry_intake.ts
+++ b/packages/scheduling/src/pool/entry_intake.ts
@@ -8,7 +8,6 @@
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
 import type { EntryMover } from "./entry_mover.ts";
-import type { Granter } from "./granter.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Refuser } from "./refuser.ts";
 import type { Siblings } from "./siblings.ts";
@@ -19,7 +18,6 @@
   guard: SuspectGuard;
   refuser: Refuser;
   ends: AttemptEnds;
-  granter: Granter;
   mover: EntryMover;
   siblings: Siblings;
 }
@@ -37,13 +35,13 @@
   /** Queues a request, refuses it, or repeats the grant that it has. */
   applyEnqueue({ entry }: EnqueueMessage): void {
     const running = this.#state.attempts.findByRequest(entry.request);
-    if (running !== undefined && entry.attemptsMade <= running.attemptsMade) {
-      if (running.message !== undefined) {
-        this.#parts.granter.resend(running.message, running.ingress);
+    const isRetry = running !== undefined &&
+      entry.attemptsMade > running.attemptsMade;
+    if (running !== undefined && !isRetry) {
+      if (this.#parts.ends.repeatGrant(running)) {
+        return;
       }
-      return;
-    }
-    if (running !== undefined) {
+    } else if (running !== undefined) {
       // A retry: the end of the attempt before it was lost on the way.
       this.#parts.ends.release(running);
     }
--- a/packages/scheduling/src/pool/entry_mover.ts
+++ b/packages/scheduling/src/pool/entry_mover.ts
@@ -10,8 +10,14 @@
   type VirtualCounter,
   type VmId,
 } from "@rattanvane/protocol";
+import type { AttemptEnds } from "./attempt_ends.ts";
+import type { RunningGrant } from "./attempt_table.ts";
 import { pickEntriesToMove } from "./move_selection.ts";
-import { convertToQueueEntry, type WaitingEntry } from "./pool_queue.ts";
+import {
+  convertToQueueEntry,
+  createWaitingEntry,
+  type WaitingEntry,
+} from "./pool_queue.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Sibling, Siblings } from "./siblings.ts";
 import type { SuspectGuard } from "./suspect_guard.ts";
@@ -26,15 +32,17 @@
   readonly #state: PoolState;
   readonly #siblings: Siblings;
   readonly #guard: SuspectGuard;
+  readonly #ends: AttemptEnds;
   readonly #moving = new Map<RequestId, MovingEntry>();
 
   constructor(
     state: PoolState,
-    parts: { siblings: Siblings; guard: SuspectGuard },
+    parts: { siblings: Siblings; guard: SuspectGuard; ends: AttemptEnds },
   ) {
     this.#state = state;
     this.#siblings = parts.siblings;
     this.#guard = parts.guard;
+    this.#ends = parts.ends;
   }
 
   /** Entries that were sent away and are not confirmed yet. */
@@ -243,7 +251,8 @@
 
   #takeEntry(entry: QueueEntry, message: MoveEntriesMessage): void {
     const { queue, attempts, now } = this.#state;
-    if (attempts.findByRequest(entry.request) !== undefined) {
+    const grant = attempts.findByRequest(entry.request);
+    if (grant !== undefined && this.#isHeld(grant, { entry, message })) {
       return;
     }
     const counter = message.counters.find(({ organisation }) =>
@@ -256,6 +265,24 @@
     });
   }
 
+  /**
+   * An entry that comes again, as when a confirmation was lost, most probably
+   * runs. An ingress ignores the repeated grant of what it runs; an attempt that
+   * was taken over gets a second turn if it is missed.
+   */
+  #isHeld(
+    grant: RunningGrant,
+    again: { entry: QueueEntry; message: MoveEntriesMessage },
+  ): boolean {
+    if (grant.message !== undefined) {
+      return this.#ends.repeatGrant(grant);
+    }
+    const { now } = this.#state;
+    const movedFrom = again.message.from;
+    grant.waiting ??= createWaitingEntry(again.entry, { now, movedFrom });
+    return true;
+  }
+
   #takeBack(request: RequestId): void {
     const moving = this.#moving.get(request);
     if (moving === undefined) {
--- a/packages/scheduling/src/pool/granter.ts
+++ b/packages/scheduling/src/pool/granter.ts
@@ -57,11 +57,6 @@
     }
   }
 
-  /** Sends a grant again that its ingress does not know of. */
-  resend(message: GrantMessage, ingress: string): void {
-    this.#state.options.sender.send(ingress, message);
-  }
-
   /** Runs suspects alone, and finds out what became of the others. */
   #grantAside(): void {
     let waitingSuspects = 0;
@@ -168,6 +163,8 @@
       attemptsMade: entry.attemptsMade,
       message,
       lastNewsAt: state.now,
+      reportedCost: 0,
+      waiting,
     });
   }
 
--- a/packages/scheduling/src/pool/pool_endpoints.ts
+++ b/packages/scheduling/src/pool/pool_endpoints.ts
@@ -23,6 +23,8 @@
   closed: boolean;
   /** The configuration no longer has it; it goes when its work has ended. */
   removed: boolean;
+  /** A former scheduler has told of everything that runs there. */
+  isRunningKnown: boolean;
   /** The suspect that runs alone there. */
   soleAttempt: AttemptId | undefined;
   /** Kept free of ordinary attempts, so that suspects can run alone. */
@@ -47,7 +49,6 @@
   readonly #endpoints = new Map<EndpointId, PoolEndpoint>();
   readonly #startedAt: number;
   #rebuilding = true;
-  #isRunningKnown = false;
 
   constructor(options: PoolEndpointsOptions) {
     this.#options = options;
@@ -59,9 +60,15 @@
     this.#rebuilding = false;
   }
 
-  /** Takes in that all attempts of a former scheduler are known. */
-  recordHandover(): void {
-    this.#isRunningKnown = true;
+  /** Takes in what a former scheduler, whose attempts are known, found out. */
+  restore(limits: readonly EndpointLimitState[]): void {
+    for (const state of limits) {
+      const endpoint = this.#endpoints.get(state.endpoint);
+      if (endpoint !== undefined) {
+        endpoint.limit.restore(state);
+        endpoint.isRunningKnown = state.foreign === 0;
+      }
+    }
   }
 
   /** Takes in a configuration; endpoints that are gone finish their work. */
@@ -160,8 +167,9 @@
     }
   }
 
-  #computeRoom({ limit }: PoolEndpoint): number {
-    if (this.#mayRunUnknown(limit)) {
+  #computeRoom(endpoint: PoolEndpoint): number {
+    const { limit } = endpoint;
+    if (this.#mayRunUnknown(endpoint)) {
       return 0;
     }
     return this.#rebuilding
@@ -174,10 +182,10 @@
    * that have not reported, and of other zones' ingresses, which are not asked.
    * Only a report taken since then shows them.
    */
-  #mayRunUnknown(limit: EndpointLimit): boolean {
+  #mayRunUnknown({ limit, isRunningKnown }: PoolEndpoint): boolean {
     const { clock, settings, rebuildMilliseconds } = this.#options;
     const age = clock.now() - this.#startedAt;
-    if (this.#isRunningKnown || age >= rebuildMilliseconds) {
+    if (isRunningKnown || age >= rebuildMilliseconds) {
       return false;
     }
     const onTheWay = settings.reportSlackMilliseconds;
@@ -209,6 +217,7 @@
       removed: false,
       soleAttempt: undefined,
       isWard: false,
+      isRunningKnown: false,
     });
   }
 }
--- a/packages/scheduling/src/pool/pool_queue.ts
+++ b/packages/scheduling/src/pool/pool_queue.ts
@@ -18,6 +18,8 @@
   readonly deadline: number;
   /** The pool that passed it on, if any. */
   readonly movedFrom: PoolId | undefined;
+  /** Waits again after a grant that nobody answered for. */
+  isSecondTurn: boolean;
 }
 
 /** How an entry came into the queue. */
@@ -84,19 +86,21 @@
     if (this.has(entry.request)) {
       return;
     }
-    const waitingSince = options.now - entry.waitedMilliseconds;
-    const waiting: WaitingEntry = {
-      request: entry.request,
-      organisation: entry.organisation,
-      entry,
-      waitingSince,
-      deadline: options.now + entry.waitLimitMilliseconds,
-      movedFrom: options.movedFrom,
-    };
+    const waiting = createWaitingEntry(entry, options);
     this.fair.add(waiting, options.entitled);
     this.#deadlines.add(waiting);
   }
 
+  /** Queues an entry again whose grant may not have arrived. */
+  addAgain(waiting: WaitingEntry): void {
+    if (this.has(waiting.request)) {
+      return;
+    }
+    waiting.isSecondTurn = true;
+    this.fair.add(waiting);
+    this.#deadlines.add(waiting);
+  }
+
   /** Takes a request out; undefined when it does not wait. */
   remove(request: string): WaitingEntry | undefined {
     const waiting = this.fair.remove(request) ?? this.#aside.get(request);
@@ -137,6 +141,22 @@
   }
 }
 
+/** Creates what the queue keeps of an entry. */
+export function createWaitingEntry(
+  entry: QueueEntry,
+  options: AddEntryOptions,
+): WaitingEntry {
+  return {
+    request: entry.request,
+    organisation: entry.organisation,
+    entry,
+    waitingSince: options.now - entry.waitedMilliseconds,
+    deadline: options.now + entry.waitLimitMilliseconds,
+    movedFrom: options.movedFrom,
+    isSecondTurn: false,
+  };
+}
+
 /** The entry as another scheduler should see it now. */
 export function convertToQueueEntry(
   waiting: WaitingEntry,
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -65,20 +65,17 @@
       refuser: this.#refuser,
       guard: this.#guard,
     });
-    this.#reports = new WorkReports(state, {
-      ends: this.#ends,
-      granter: this.#granter,
-    });
+    this.#reports = new WorkReports(state, this.#ends);
     this.#exchange = new CounterExchange(state, this.#siblings);
     this.#mover = new EntryMover(state, {
       siblings: this.#siblings,
       guard: this.#guard,
+      ends: this.#ends,
     });
     this.#intake = new EntryIntake(state, {
       guard: this.#guard,
       refuser: this.#refuser,
       ends: this.#ends,
-      granter: this.#granter,
       mover: this.#mover,
       siblings: this.#siblings,
     });
@@ -139,7 +136,7 @@
       this.#state.evidence.recordReport(endpoint, { sampledAt, startedAt });
     }
     this.#ends.applyNews(endpoint, news);
-    this.#ends.orphanAbsent(endpoint, known.limit.absent);
+    this.#ends.settleAbsent(endpoint, known.limit.absent);
     this.#grantAndOffer();
   }
 
@@ -163,7 +160,9 @@
       term,
       virtualTime: fair.virtualTime,
       counters: fair.listCounters(),
-      limits: this.#state.endpoints.listLimits(),
+      limits: this.#reports.isRebuilding
+        ? []
+        : this.#state.endpoints.listLimits(),
       running: this.#state.attempts.listHanded(),
     });
     logger.info("handed the pool over", {
@@ -243,10 +242,7 @@
     for (const running of message.running) {
       this.#reports.adopt(running.ingress, running);
     }
-    this.#state.endpoints.recordHandover();
-    for (const limit of message.limits) {
-      this.#state.endpoints.find(limit.endpoint)?.limit.restore(limit);
-    }
+    this.#state.endpoints.restore(message.limits);
   }
 
   #removeIngress(vm: VmId): void {
--- a/packages/scheduling/src/pool/pool_scheduler_test.ts
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -129,20 +129,32 @@
     expect(placed).to.deep.equal(["z1-e1", "z1-e1", "z1-e0"]);
   });
 
-  it("frees slots of which nobody reports the end", async () => {
+  for (const isGone of [false, true]) {
+    const who = isGone ? "nobody answers for" : "the end was lost";
+    it(`frees slots of which ${who}`, async () => {
+      const world = createWorld();
+      await world.run(1000);
+      world.network.loses = ({ kind }) => kind === MessageKind.Finish;
+      world.addRequests(8, { ...LONG, cost: 500 });
+      await world.run(4000);
+      expect(describePool(world).running).to.equal(8);
+      world.findIngress("z1-vm1").isAlive = !isGone;
+      await world.run(isGone ? 12_000 : 4000);
+      const { running, endpoints } = describePool(world);
+      const outstanding = endpoints.map((endpoint) => endpoint.outstanding);
+      expect([running, ...outstanding]).to.deep.equal([0, 0, 0]);
+    });
+  }
+
+  it("repeats a grant that was lost when nothing else tells", async () => {
     const world = createWorld();
     await world.run(1000);
-    world.network.loses = ({ kind }) => kind === MessageKind.Finish;
+    let lost = 0;
+    world.network.loses = ({ kind }) =>
+      kind === MessageKind.Grant && lost++ < 3;
     world.addRequests(8, { ...LONG, cost: 500 });
-    await world.run(5000);
-    expect(describePool(world).running).to.equal(8);
     await world.run(8000);
-    const { running, endpoints } = describePool(world);
-    expect(running).to.equal(0);
-    expect(endpoints.map(({ outstanding }) => outstanding)).to.deep.equal([
-      0,
-      0,
-    ]);
+    expect(world.findIngress("z1-vm1").completed.size).to.equal(8);
   });
 });
 
--- a/packages/scheduling/src/pool/settings.ts
+++ b/packages/scheduling/src/pool/settings.ts
@@ -28,7 +28,7 @@
   grantSettleMilliseconds: number;
   /** After this time without news an attempt's ingress is taken for gone. */
   attemptSilenceMilliseconds: number;
-  /** Silence after which an attempt that no load report shows has ended. */
+  /** Silence after which an attempt that no load report shows is looked into. */
   absentMilliseconds: number;
   /** How long a quarantine spreads before its first refusals are sent. */
   quarantineSpreadMilliseconds: number;
@@ -63,7 +63,7 @@
   requestWorkMilliseconds: 500,
   grantSettleMilliseconds: 2000,
   attemptSilenceMilliseconds: 300_000,
-  absentMilliseconds: 10_000,
+  absentMilliseconds: 5000,
   quarantineSpreadMilliseconds: 2000,
   offerIntervalMilliseconds: 50,
   moveTimeoutMilliseconds: 2000,
--- a/packages/scheduling/src/pool/testing/fake_ingress.ts
+++ b/packages/scheduling/src/pool/testing/fake_ingress.ts
@@ -80,6 +80,7 @@
         pool: grant.pool,
         attempt: grant.attempt,
         cost: job.done,
+        bootId: this.options.findEndpoint(grant.endpoint).bootId,
       });
     }
   }
--- a/packages/scheduling/src/pool/work_reports.ts
+++ b/packages/scheduling/src/pool/work_reports.ts
@@ -8,26 +8,20 @@
   type WorkReportMessage,
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
-import type { Granter } from "./granter.ts";
 import type { PoolState } from "./pool_state.ts";
 
 /** Asks the ingresses for their work after a start, and merges it. */
 export class WorkReports {
   readonly #state: PoolState;
   readonly #ends: AttemptEnds;
-  readonly #granter: Granter;
   readonly #missing = new Set<VmId>();
   readonly #startedAt: number;
   #askedAt = -Infinity;
   #isRebuilding = true;
 
-  constructor(
-    state: PoolState,
-    parts: { ends: AttemptEnds; granter: Granter },
-  ) {
+  constructor(state: PoolState, ends: AttemptEnds) {
     this.#state = state;
-    this.#ends = parts.ends;
-    this.#granter = parts.granter;
+    this.#ends = ends;
     this.#startedAt = state.now;
   }
 
@@ -118,6 +112,7 @@
     const known = state.attempts.find(running.attempt);
     if (known !== undefined) {
       known.lastNewsAt = state.now;
+      known.reportedCost = running.cost;
       return;
     }
     state.queue.remove(running.request);
@@ -139,14 +134,15 @@
       attemptsMade: 0,
       message: undefined,
       lastNewsAt: state.now,
+      reportedCost: running.cost,
+      waiting: undefined,
     });
   }
 
   /** Queues a request again, or repeats the grant that was lost. */
   #addWaiting(entry: QueueEntry): void {
     const grant = this.#state.attempts.findByRequest(entry.request);
-    if (grant?.message !== undefined) {
-      this.#granter.resend(grant.message, grant.ingress);
+    if (grant !== undefined && this.#ends.repeatGrant(grant)) {
       return;
     }
     this.#state.queue.add(entry, { now: this.#state.now });
