--- a/packages/bench/src/slopes/sample_messages.ts
+++ b/packages/bench/src/slopes/sample_messages.ts
@@ -12,6 +12,8 @@
 
 const FINGERPRINT_CHARACTERS = 32;
 
+const SAMPLE_BOOT_ID = "boot-1f3c9a7e";
+
 /** A pool of the samples. */
 export const SAMPLE_POOL: PoolId = { zone: "zone-a", service: "model-07" };
 
@@ -79,7 +81,7 @@
       cost: 4321,
       firstByteMilliseconds: 123.5,
       durationMilliseconds: 4567.5,
-      bootId: "boot-1f3c9a7e",
+      bootId: SAMPLE_BOOT_ID,
     },
   };
 }
@@ -92,6 +94,7 @@
     attempts: Array.from({ length: attempts }, (_, index) => ({
       attempt: `vm-a012-1f3c9a7e-${String(index).padStart(6, "0")}-1`,
       cost: 4000 + index,
+      bootId: SAMPLE_BOOT_ID,
     })),
   };
 }
--- a/packages/bench/src/slopes/scheduler.ts
+++ b/packages/bench/src/slopes/scheduler.ts
@@ -167,7 +167,7 @@
     this.#scheduler.handle(VM, {
       kind: MessageKind.Progress,
       pool: POOL,
-      attempts: [{ attempt, cost: cost / 2 }],
+      attempts: [{ attempt, cost: cost / 2, bootId: "b" }],
     });
     this.#scheduler.handle(VM, {
       kind: MessageKind.Finish,
--- a/packages/router/src/ingress/attempt.ts
+++ b/packages/router/src/ingress/attempt.ts
@@ -34,7 +34,6 @@
   readonly #current: CurrentAttempt;
   readonly #startedAt: number;
   #firstByteAt: number | undefined;
-  #bootId = "";
 
   /** The entry must hold a grant. */
   constructor(environment: AttemptEnvironment, entry: LedgerEntry) {
@@ -95,7 +94,7 @@
     );
     // The attempt has run in any case, also when it can't be resumed.
     if (response.isOk()) {
-      this.#bootId = response.value.bootId;
+      this.#current.bootId = response.value.bootId;
     }
     return response.mapErr(convertResumeError);
   }
@@ -134,7 +133,7 @@
       cost: this.#current.cost,
       firstByteMilliseconds,
       durationMilliseconds,
-      bootId: this.#bootId,
+      bootId: this.#current.bootId,
     });
   }
 
@@ -182,7 +181,7 @@
   /** An attempt that was not run counts as not made. */
   #note(response: Result<EndpointResponse, EndpointError>): void {
     if (response.isOk()) {
-      this.#bootId = response.value.bootId;
+      this.#current.bootId = response.value.bootId;
       return;
     }
     const notRun = response.error.kind === EndpointErrorKind.NotSent ||
--- a/packages/router/src/ingress/dispatcher_test.ts
+++ b/packages/router/src/ingress/dispatcher_test.ts
@@ -135,8 +135,8 @@
     await clock.advance(PROGRESS_MILLISECONDS);
     const reports = sender.list(MessageKind.Progress);
     expect(reports.map((report) => report.attempts)).to.deep.equal([[
-      { attempt: "attempt-1", cost: 150 },
-      { attempt: "attempt-2", cost: 200 },
+      { attempt: "attempt-1", cost: 150, bootId: "" },
+      { attempt: "attempt-2", cost: 200, bootId: "" },
     ]]);
   });
 
--- a/packages/scheduling/src/pool/testing/fake_ingress.ts
+++ b/packages/scheduling/src/pool/testing/fake_ingress.ts
@@ -78,7 +78,11 @@
       this.options.send(scheduler, {
         kind: MessageKind.Progress,
         pool: grant.pool,
-        attempts: [{ attempt: grant.attempt, cost: job.done }],
+        attempts: [{
+          attempt: grant.attempt,
+          cost: job.done,
+          bootId: this.options.findEndpoint(grant.endpoint).bootId,
+        }],
       });
     }
   }
