--- a/packages/bench/src/proofs/at_most_once_test.ts
+++ b/packages/bench/src/proofs/at_most_once_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { after, afterEach, before, describe, it } from "mocha";
+import { generateDatedKey } from "../load/dated_key.ts";
 import type { PlainResult } from "../load/plain_caller.ts";
 import { type ProofFleet, startProofFleet } from "./proof_fleet.ts";
 
@@ -331,7 +332,7 @@
     it(each.title, async () => {
       const key = each.issued
         ? await proof.issueKey("vm-a1")
-        : `order-${index}`;
+        : generateDatedKey(Date.now());
       const step = new CaseSteps(proof, { job: `topper-${index}`, key });
       await each.act(step);
       const during = each.during ?? Object.values(Told);
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -2,7 +2,7 @@
 
 import type { ConfigurationPeer } from "@rattanvane/configuration";
 import type { Membership } from "@rattanvane/membership";
-import type { KeyForwarder } from "@rattanvane/once";
+import type { CollectedRowWriter, KeyForwarder } from "@rattanvane/once";
 import { type Message, MessageKind, type VmId } from "@rattanvane/protocol";
 import type { PoolOwnership } from "@rattanvane/scheduling";
 import type { Dispatcher } from "../ingress/dispatcher.ts";
@@ -16,6 +16,7 @@
   ownership: PoolOwnership;
   peer: ConfigurationPeer;
   forwarder: KeyForwarder;
+  rowWriter: CollectedRowWriter;
 }
 
 /** Knows which part handles which kind of message. */
@@ -28,8 +29,8 @@
 
   /** Passes a message on. */
   handle(from: VmId, message: Message): void {
-    const { membership, dispatcher, host, ownership, peer, forwarder } =
-      this.#options;
+    const { membership, dispatcher, host, ownership, peer } = this.#options;
+    const { forwarder, rowWriter } = this.#options;
     switch (message.kind) {
       case MessageKind.Probe:
       case MessageKind.ProbeReply:
@@ -49,6 +50,9 @@
       case MessageKind.RunKey:
       case MessageKind.KeyResult:
         return forwarder.handle(message, from);
+      case MessageKind.WriteRow:
+      case MessageKind.RowResult:
+        return rowWriter.handle(message, from);
       case MessageKind.Handover:
         ownership.handleHandover(message.pool);
         return host.handle(from, message);
