--- a/packages/bench/src/fleet/router_settings_file.ts
+++ b/packages/bench/src/fleet/router_settings_file.ts
@@ -8,6 +8,9 @@
 import type { FleetOptions } from "./fleet_options.ts";
 import type { RouterPlan } from "./fleet_plan.ts";
 
+/** The callers of a local fleet notice at once that a VM is not ready. */
+const SHUTDOWN_NOTICE_MILLISECONDS = 500;
+
 /** A router and how the others see it. */
 export interface RouterPlace {
   plan: RouterPlan;
@@ -65,6 +68,7 @@
       })),
     log: { level: fleet.logLevel },
     seed: fleet.seed,
+    shutdown: { noticeMilliseconds: SHUTDOWN_NOTICE_MILLISECONDS },
     ...sections,
   };
 }
--- a/packages/router/src/caller/caller_server.ts
+++ b/packages/router/src/caller/caller_server.ts
@@ -92,7 +92,12 @@
     }, { once: true });
   }
 
-  /** Takes no new connections and closes each one after its answer. */
+  /** Closes each connection after its answer; new ones are still taken. */
+  closeAfterAnswers(): void {
+    this.#closing = true;
+  }
+
+  /** Takes no new connections and closes the idle ones. */
   stopAccepting(): void {
     this.#closing = true;
     this.#server.close();
--- a/packages/settings/src/tuning_sections.ts
+++ b/packages/settings/src/tuning_sections.ts
@@ -122,6 +122,14 @@
 /** Builds the section on the end of the process. */
 export function buildShutdownSection() {
   return buildSection({
+    noticeMilliseconds: buildInteger({
+      least: 0,
+      most: 10 * MINUTE_MILLISECONDS,
+    })
+      .default(10_000).describe(
+        "How long a VM that leaves still takes requests while /readyz fails; " +
+          "longer than the balancer takes to notice.",
+      ),
     longestMilliseconds: longTime.default(330_000).describe(
       "How long a graceful shutdown waits for running requests.",
     ),
