--- a/packages/limits/src/endpoint_limit.ts
+++ b/packages/limits/src/endpoint_limit.ts
@@ -199,6 +199,8 @@
 
   /** Takes in that the endpoint could not be asked for its load. */
   markUnreachable(): EndpointNews {
+    // It may be about to start anew; what runs there may be lost unnoticed.
+    this.#provenAt = -Infinity;
     if (!this.#health.recordSilence()) {
       return EndpointNews.Nothing;
     }
--- a/packages/limits/src/endpoint_restart_test.ts
+++ b/packages/limits/src/endpoint_restart_test.ts
@@ -124,6 +124,20 @@
     }
   });
 
+  it("goes back within the cold limit while it does not answer", async () => {
+    const fixture = createFixture();
+    await runRounds(fixture, { rounds: 3 });
+    await fixture.clock.advance(1);
+    startAll(fixture.limit);
+    await fixture.clock.advance(1);
+    fixture.limit.recordProgress("b1");
+    expect(fixture.limit.freeSlots).to.equal(14);
+    fixture.limit.markUnreachable();
+    expect(fixture.limit.freeSlots).to.equal(0);
+    fixture.limit.recordProgress("b1");
+    expect(fixture.limit.freeSlots).to.equal(14);
+  });
+
   it("takes no sign of life of another boot for a proof", async () => {
     const fixture = createFixture();
     await runRounds(fixture, { rounds: 3 });
--- a/packages/scheduling/src/pool/entry_intake.ts
+++ b/packages/scheduling/src/pool/entry_intake.ts
@@ -7,6 +7,7 @@
   RefusalReason,
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
+import type { RunningGrant } from "./attempt_table.ts";
 import type { EntryMover } from "./entry_mover.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Refuser } from "./refuser.ts";
@@ -35,14 +36,11 @@
   /** Queues a request, refuses it, or repeats the grant that it has. */
   applyEnqueue({ entry }: EnqueueMessage): void {
     const running = this.#state.attempts.findByRequest(entry.request);
-    const isRetry = running !== undefined &&
-      entry.attemptsMade > running.attemptsMade;
-    if (running !== undefined && !isRetry) {
+    if (running !== undefined && !this.#isOver(running, entry)) {
       if (this.#parts.ends.repeatGrant(running)) {
         return;
       }
     } else if (running !== undefined) {
-      // A retry: the end of the attempt before it was lost on the way.
       this.#parts.ends.release(running);
     }
     if (this.#state.queue.has(entry.request)) {
@@ -57,6 +55,17 @@
     this.#state.queue.add(entry, { now: this.#state.now });
   }
 
+  /**
+   * Whether the request has left again since, so that the end of this attempt
+   * was lost. A young grant may come from an entry that was out of date.
+   */
+  #isOver(running: RunningGrant, entry: QueueEntry): boolean {
+    const { grantSettleMilliseconds } = this.#state.options.settings;
+    const age = this.#state.now - running.grantedAt;
+    return entry.attemptsMade > running.attemptsMade &&
+      age >= grantSettleMilliseconds;
+  }
+
   #findRefusal(entry: QueueEntry): RefusalReason | undefined {
     const { queue, configuration, endpoints, options } = this.#state;
     if (this.#parts.guard.judge(entry.fingerprint) === Suspicion.Quarantined) {
