--- a/packages/limits/src/endpoint_limit_test.ts
+++ b/packages/limits/src/endpoint_limit_test.ts
@@ -24,6 +24,18 @@
     expect(limit.freeSlots).to.equal(3);
   });
 
+  it("takes one low report for slots between two foreign requests", async () => {
+    const { clock, limit } = createFixture({ coldLimit: 8 });
+    const foreign: number[] = [];
+    for (const running of [3, 0, 3, 0, 0, 0]) {
+      await clock.advance(500);
+      const uptimeMilliseconds = clock.now();
+      limit.receiveReport(createReport({ running, uptimeMilliseconds }));
+      foreign.push(limit.foreign);
+    }
+    expect(foreign).to.deep.equal([3, 3, 3, 3, 3, 0]);
+  });
+
   it("does not take its own ended work for foreign load", async () => {
     const { clock, limit } = createFixture({ coldLimit: 8 });
     const started = startAll(limit);
