Tell a zone's scheduler how the ingresses of moved entries are reached

Cause: a scheduler that takes entries over from another zone grants to their ingresses, of which it knows only the names; in a fleet whose settings do not list every VM the grants would have been dropped. Ruled out: having the ingress greet the scheduler first (the grant may come before it). Change: moved entries carry their ingresses' contacts. A scheduler that was handed over goes on passing late messages for 5 s.

--- a/packages/bench/src/slopes/scheduler.ts
+++ b/packages/bench/src/slopes/scheduler.ts
@@ -119,6 +119,7 @@
         ...DEFAULT_POOL_SCHEDULER_SETTINGS,
         queueLimit: Infinity,
       },
+      findContact: () => undefined,
       suspects: new SuspectRegistry(this.#clock, DEFAULT_SUSPECT_SETTINGS),
     });
   }
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -85,6 +85,7 @@
   "status",
   "attempts",
   "chargedCost",
+  "contacts",
 ];
 
 /** Builds the map of names to numbers. */
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -8,6 +8,7 @@
   RequestId,
   ServiceId,
   Term,
+  VmContact,
   VmId,
 } from "./identifiers.ts";
 import type { MessageKind } from "./message_kind.ts";
@@ -257,6 +258,8 @@
   from: PoolId;
   to: PoolId;
   entries: QueueEntry[];
+  /** How the entries' ingresses are reached from another zone. */
+  contacts: VmContact[];
   /** The counters of the entries' organisations at the sender. */
   counters: VirtualCounter[];
 }
--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -17,6 +17,7 @@
   type PoolId,
   type SchedulerMessage,
   type Term,
+  type VmContact,
   type VmId,
   type ZoneId,
 } from "@rattanvane/protocol";
@@ -40,6 +41,8 @@
   suspects: SuspectRegistry;
   poller: LoadPoller;
   findConfiguration: () => FleetConfiguration | undefined;
+  /** Finds how a VM is reached. */
+  findContact: (vm: VmId) => VmContact | undefined;
   /** The VMs that a pool's scheduler works with at the moment. */
   findPeers: (pool: PoolId) => PoolPeers;
   /** The newest term that this VM knows of a pool. */
@@ -49,6 +52,9 @@
 /** How long the state of a pool is kept for a scheduler to come. */
 const HANDOVER_MILLISECONDS = 10_000;
 
+/** How long a scheduler that was replaced passes messages on. */
+const RETIRE_MILLISECONDS = 5_000;
+
 interface KeptHandover {
   from: VmId;
   message: HandoverMessage;
@@ -89,6 +95,7 @@
       random: this.#options.random,
       logger: this.#options.logger,
       settings: this.#options.settings,
+      findContact: this.#options.findContact,
       suspects: this.#options.suspects,
     });
     const lifetime = new ChildAbort(signal);
@@ -115,6 +122,22 @@
     hosted?.scheduler.updateTerm(options.term, options);
   }
 
+  /**
+   * Ends the scheduler of a pool that another VM has taken. Until then it
+   * passes late messages on.
+   */
+  async retire(pool: PoolId, signal: AbortSignal): Promise<void> {
+    const key = formatPool(pool);
+    const retiring = this.#hosted.get(key);
+    if (retiring === undefined) {
+      return;
+    }
+    await this.#options.clock.sleep(RETIRE_MILLISECONDS, signal);
+    if (this.#hosted.get(key) === retiring) {
+      this.stop(pool);
+    }
+  }
+
   /** Ends the scheduler of a pool, if this VM runs it. */
   stop(pool: PoolId): void {
     const key = formatPool(pool);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -116,7 +116,7 @@
     terms.changes.listen((term) => {
       network.learnContact(term.contact);
       if (term.term.holder !== this.#settings.vm) {
-        host.stop(term.pool);
+        void host.retire(term.pool, signal);
       }
       dispatcher.followTerm(term.pool);
       host.updatePeers();
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -287,6 +287,7 @@
       findConfiguration: () => this.findConfiguration(),
       findPeers: (pool) => this.view.findPeers(pool),
       findTerm: (pool) => this.view.findTerm(pool),
+      findContact: (vm) => this.membership.findContact(vm),
     });
   }
 
--- a/packages/scheduling/src/pool/entry_mover.ts
+++ b/packages/scheduling/src/pool/entry_mover.ts
@@ -8,6 +8,7 @@
   type QueueEntry,
   type RequestId,
   type VirtualCounter,
+  type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
@@ -128,6 +129,9 @@
   /** Takes entries over from a sibling. */
   applyMove(from: VmId, message: MoveEntriesMessage): void {
     const { sender, pool } = this.#state.options;
+    for (const contact of message.contacts) {
+      sender.learnContact(contact);
+    }
     const canServe = this.#state.endpoints.sumSlots() > 0;
     const taken: RequestId[] = [];
     const returned: RequestId[] = [];
@@ -239,6 +243,7 @@
       from: options.pool,
       to: sibling.pool,
       entries: picked.map((waiting) => convertToQueueEntry(waiting, now)),
+      contacts: this.#collectContacts(picked),
       counters: [...counters.values()],
     });
     options.logger.info("moved waiting requests to another zone", {
@@ -249,6 +254,12 @@
     });
   }
 
+  /** The receiver grants to ingresses of which it may never have heard. */
+  #collectContacts(picked: readonly WaitingEntry[]): VmContact[] {
+    const vms = new Set(picked.map(({ entry }) => entry.ingress));
+    return [...vms].flatMap((vm) => this.#state.options.findContact(vm) ?? []);
+  }
+
   #takeEntry(entry: QueueEntry, message: MoveEntriesMessage): void {
     const { queue, attempts, now } = this.#state;
     const grant = attempts.findByRequest(entry.request);
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -7,7 +7,13 @@
 } from "@rattanvane/configuration";
 import { CostEstimator } from "@rattanvane/fairness";
 import { CrashEvidence, type SuspectRegistry } from "@rattanvane/limits";
-import type { MessageSender, PoolId, Term, VmId } from "@rattanvane/protocol";
+import type {
+  MessageSender,
+  PoolId,
+  Term,
+  VmContact,
+  VmId,
+} from "@rattanvane/protocol";
 import { AttemptTable } from "./attempt_table.ts";
 import { PoolEndpoints } from "./pool_endpoints.ts";
 import { PoolQueue } from "./pool_queue.ts";
@@ -26,6 +32,8 @@
   random: RandomSource;
   logger: Logger;
   settings: PoolSchedulerSettings;
+  /** Finds how a VM is reached, for schedulers of other zones. */
+  findContact: (vm: VmId) => VmContact | undefined;
   /** The VM's own; it spreads by gossip. */
   suspects: SuspectRegistry;
 }
--- a/packages/scheduling/src/pool/testing/pool_world.ts
+++ b/packages/scheduling/src/pool/testing/pool_world.ts
@@ -13,6 +13,7 @@
   MessageKind,
   type QueueEntry,
   type SchedulerMessage,
+  type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
 import { PoolScheduler } from "../pool_scheduler.ts";
@@ -133,6 +134,7 @@
       random: new RandomSource(seed + this.#nextTerm),
       logger: this.#options.logger ?? createSilentLogger(),
       settings: { ...DEFAULT_POOL_SCHEDULER_SETTINGS, ...settings },
+      findContact: createContact,
       suspects,
     });
     const abort = new AbortController();
@@ -368,3 +370,8 @@
     this.ingresses.set(vm, ingress);
   }
 }
+
+function createContact(vm: VmId): VmContact {
+  const zone = vm.split("-")[0] ?? "";
+  return { vm, zone, host: "127.0.0.1", controlPort: 1, callerPort: 2 };
+}
--- a/packages/scheduling/src/pool/testing/world_network.ts
+++ b/packages/scheduling/src/pool/testing/world_network.ts
@@ -2,6 +2,7 @@
 
 import {
   type Message,
+  MessageKind,
   MessageSender,
   type VmContact,
   type VmId,
@@ -66,6 +67,7 @@
 class WorldSender extends MessageSender {
   readonly #network: WorldNetwork;
   readonly #from: VmId;
+  readonly #learned = new Set<VmId>();
 
   constructor(network: WorldNetwork, from: VmId) {
     super();
@@ -74,8 +76,18 @@
   }
 
   override send(vm: VmId, message: Message): void {
-    this.#network.send(this.#from, vm, message);
+    if (message.kind !== MessageKind.Grant || this.#isKnown(vm)) {
+      this.#network.send(this.#from, vm, message);
+    }
+  }
+
+  override learnContact(contact: VmContact): void {
+    this.#learned.add(contact.vm);
   }
 
-  override learnContact(_contact: VmContact): void {}
+  /** The VMs of the own zone are known, those of others only when learned. */
+  #isKnown(vm: VmId): boolean {
+    return vm.split("-")[0] === this.#from.split("-")[0] ||
+      this.#learned.has(vm);
+  }
 }
