Connect to endpoints and the platform from the own address

Cause: undici takes localAddress from each call and sets null over the connector's own, so that since the connector came no call of a router left from the address that the settings name. Ruled out: the proxy's links by source (a plain dial from 127.1.2.1 is told apart), the scheduler (the endpoint was down for it, truly).

--- a/packages/bench/src/baseline/round_robin_router.ts
+++ b/packages/bench/src/baseline/round_robin_router.ts
@@ -46,7 +46,7 @@
   constructor(options: RoundRobinOptions, signal: AbortSignal) {
     this.#options = options;
     this.#engines = this.#createSlots(options.engineUrls);
-    this.#agent = new Agent({ connect: { localAddress: options.host } });
+    this.#agent = new Agent({ localAddress: options.host });
     this.#server = createServer((incoming, outgoing) => {
       void this.#serve(incoming, outgoing);
     });
--- a/packages/platform/src/http/connector.ts
+++ b/packages/platform/src/http/connector.ts
@@ -26,12 +26,11 @@
   options: ConnectorOptions,
 ): buildConnector.connector {
   const { localAddress, connectTimeoutMilliseconds } = options;
-  const connect = buildConnector({
-    timeout: connectTimeoutMilliseconds,
-    ...(localAddress === "" ? {} : { localAddress }),
-  });
+  const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+  // undici takes the address from each call and ignores the connector's own.
+  const source = localAddress === "" ? {} : { localAddress };
   return (target, callback) => {
-    connect(target, (error, socket) => {
+    connect({ ...target, ...source }, (error, socket) => {
       if (error !== null) {
         callback(new ConnectError(error), null);
         return;
