--- a/packages/once/src/key_forwarder.ts
+++ b/packages/once/src/key_forwarder.ts
@@ -42,6 +42,8 @@
   clock: Clock;
   /** False for a VM that is known to be dead; true when in doubt. */
   isLive: (vm: VmId) => boolean;
+  /** False for a VM to which no connection can be made at the moment. */
+  isReachable: (vm: VmId) => boolean;
   runForwarded: RunForwarded;
   /** How long a forwarded call may take. */
   timeoutMilliseconds: number;
@@ -111,7 +113,8 @@
     home: VmId,
     signals: { caller: AbortSignal; finished: AbortSignal },
   ): Promise<string> {
-    const { clock, sender, isLive, resendMilliseconds } = this.#options;
+    const { clock, sender, isLive, isReachable, resendMilliseconds } =
+      this.#options;
     const endsAt = clock.now() + this.#options.timeoutMilliseconds;
     let pause = resendMilliseconds;
     while (clock.now() < endsAt) {
@@ -130,6 +133,10 @@
       if (signals.finished.aborted) {
         break;
       }
+      // Asked after a try, since a link is only dialled when it is needed.
+      if (!isReachable(home)) {
+        return `the VM "${home}", which alone may run this key, is cut off`;
+      }
     }
     return `the VM "${home}", which alone may run this key, did not answer`;
   }
--- a/packages/platform/src/http/connector.ts
+++ b/packages/platform/src/http/connector.ts
@@ -27,7 +27,7 @@
 ): buildConnector.connector {
   const { localAddress, connectTimeoutMilliseconds } = options;
   const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
-  // undici takes the address from each call and ignores the connector's own.
+  // The target's own field, though undefined, goes before the connector's.
   const source = localAddress === "" ? {} : { localAddress };
   return (target, callback) => {
     connect({ ...target, ...source }, (error, socket) => {
--- a/packages/router/src/caller/caller_error.ts
+++ b/packages/router/src/caller/caller_error.ts
@@ -149,6 +149,8 @@
   outcome?: CallOutcome;
   /** When to try again, in milliseconds. */
   retryAfterMilliseconds?: number;
+  /** A remedy that fits better than the kind's own. */
+  remedy?: string;
   cause?: unknown;
 }
 
@@ -164,7 +166,8 @@
     options: CallerErrorOptions = {},
   ) {
     const text = ERROR_TEXTS[kind];
-    super({ kind, problem, remedy: text.remedy, cause: options.cause });
+    const remedy = options.remedy ?? text.remedy;
+    super({ kind, problem, remedy, cause: options.cause });
     this.status = text.status;
     this.outcome = options.outcome ?? CallOutcome.NotRun;
     this.retryAfterMilliseconds = options.retryAfterMilliseconds;
--- a/packages/router/src/host/fleet_view.ts
+++ b/packages/router/src/host/fleet_view.ts
@@ -25,8 +25,8 @@
   terms: TermBook;
   view: ZoneView;
   findConfiguration: () => FleetConfiguration | undefined;
-  /** Whether a VM is dead, or the link to it is lost. */
-  isUnreachable: (vm: VmId) => boolean;
+  /** Whether the link to a VM was lost and has not come back. */
+  isDisconnected: (vm: VmId) => boolean;
 }
 
 /** Answers which pools there are and who schedules them. */
@@ -61,8 +61,19 @@
   }
 
   override isReachable(vm: VmId): boolean {
-    const { self, isUnreachable } = this.#options;
-    return vm === self.vm || !isUnreachable(vm);
+    const { self, isDisconnected } = this.#options;
+    return vm === self.vm || (!isDisconnected(vm) && this.isLive(vm));
+  }
+
+  /** False for a VM that the membership holds dead; true when in doubt. */
+  isLive(vm: VmId): boolean {
+    const { self, view } = this.#options;
+    const contact = view.findContact(vm);
+    // Of other zones only some VMs are known, so silence there says nothing.
+    if (vm === self.vm || contact?.zone !== self.zone) {
+      return true;
+    }
+    return view.listAnswering(self.zone).some((one) => one.vm === vm);
   }
 
   override isSuperseded(pool: PoolId, term: Term): boolean {
@@ -77,7 +88,8 @@
 
   /** The VMs that the scheduler of an own pool works with. */
   findPeers(pool: PoolId): PoolPeers {
-    const ingresses = this.#options.view.listLive(pool.zone)
+    // A VM that leaves still has requests that wait and run.
+    const ingresses = this.#options.view.listAnswering(pool.zone)
       .map((contact) => contact.vm);
     const siblings = this.#listPools(pool.service)
       .filter((other) => other.zone !== pool.zone)
--- a/packages/router/src/ingress/attempt.ts
+++ b/packages/router/src/ingress/attempt.ts
@@ -10,7 +10,11 @@
 import { AttemptOutcome } from "@rattanvane/protocol";
 import { err, type Result } from "neverthrow";
 import type { AttemptEnvironment } from "./attempt_environment.ts";
-import { convertOutcome } from "./attempt_outcome.ts";
+import {
+  convertOutcome,
+  convertResumeError,
+  isNotRun,
+} from "./attempt_outcome.ts";
 import type { CurrentAttempt, LedgerEntry } from "./ledger_entry.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -30,7 +34,6 @@
   readonly #current: CurrentAttempt;
   readonly #startedAt: number;
   #firstByteAt: number | undefined;
-  #bootId = "";
 
   /** The entry must hold a grant. */
   constructor(environment: AttemptEnvironment, entry: LedgerEntry) {
@@ -89,8 +92,11 @@
       { attempt, offset },
       signal,
     );
-    this.#note(response);
-    return response;
+    // The attempt has run in any case, also when it can't be resumed.
+    if (response.isOk()) {
+      this.#current.bootId = response.value.bootId;
+    }
+    return response.mapErr(convertResumeError);
   }
 
   /** Notes that the first part of the answer is here. */
@@ -127,7 +133,7 @@
       cost: this.#current.cost,
       firstByteMilliseconds,
       durationMilliseconds,
-      bootId: this.#bootId,
+      bootId: this.#current.bootId,
     });
   }
 
@@ -139,6 +145,17 @@
     this.finish(convertOutcome(error));
   }
 
+  /**
+   * The same, but frees the endpoint's slot before the scheduler's: an attempt
+   * that broke off may run on, and the scheduler fills the slot at once.
+   */
+  async stopWithError(error: EndpointError): Promise<void> {
+    if (!isNotRun(error)) {
+      await this.cancel(new AbortController().signal);
+    }
+    this.finishWithError(error);
+  }
+
   /** Tells the endpoint that nobody waits for the attempt any more. */
   async cancel(signal: AbortSignal): Promise<void> {
     const endpoint = this.#environment.findEndpoint(this.#current.endpoint);
@@ -164,7 +181,7 @@
   /** An attempt that was not run counts as not made. */
   #note(response: Result<EndpointResponse, EndpointError>): void {
     if (response.isOk()) {
-      this.#bootId = response.value.bootId;
+      this.#current.bootId = response.value.bootId;
       return;
     }
     const notRun = response.error.kind === EndpointErrorKind.NotSent ||
--- a/packages/router/src/ingress/cost_reporter.ts
+++ b/packages/router/src/ingress/cost_reporter.ts
@@ -62,8 +62,8 @@
       const key = formatPool(current.pool);
       const batch = batches.get(key) ?? { pool: current.pool, attempts: [] };
       batches.set(key, batch);
-      const { attempt, cost } = current;
-      batch.attempts.push({ attempt, cost });
+      const { attempt, cost, bootId } = current;
+      batch.attempts.push({ attempt, cost, bootId });
       current.reportedCost = Math.max(cost, current.reportedCost);
       current.reportedAt = now;
     }
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -274,6 +274,7 @@
       cost: 0,
       reportedCost: grant.chargedCost,
       reportedAt: this.#options.clock.now(),
+      bootId: "",
     };
     this.#log(entry, "was granted an endpoint", {
       attempt: grant.attempt,
--- a/packages/router/src/ingress/resume_handler.ts
+++ b/packages/router/src/ingress/resume_handler.ts
@@ -80,6 +80,7 @@
         cost: 0,
         reportedCost: 0,
         reportedAt: clock.now(),
+        bootId: "",
       };
       environment.dispatcher.followTerm(entry.pool);
       const run = new CompletionRun({ environment, entry, request, sink });
--- a/packages/settings/src/load_settings_test.ts
+++ b/packages/settings/src/load_settings_test.ts
@@ -30,7 +30,7 @@
   it("fills in defaults for all but the identity", () => {
     const settings = parseSettings(createText(), FILE)._unsafeUnwrap();
     expect(settings.advertise).to.deep.equal(settings.listen);
-    expect(settings.membership.probePeriodMilliseconds).to.equal(500);
+    expect(settings.membership.probePeriodMilliseconds).to.equal(200);
     expect(settings.log.level).to.equal("info");
     expect(settings.seed).to.equal(undefined);
     expect(settings.peers).to.deep.equal([]);
