--- a/packages/router/src/caller/body_reader.ts
+++ b/packages/router/src/caller/body_reader.ts
@@ -41,16 +41,29 @@
   const chunks: Uint8Array[] = [];
   let bytes = 0;
   // The answer to a bad body still needs the connection, so it stays open.
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    bytes += (chunk as Uint8Array).length;
-    if (bytes > maximumBytes) {
-      throw createTooLongError(maximumBytes);
+  const parts = request.iterator({ destroyOnReturn: false });
+  try {
+    for await (const chunk of parts) {
+      bytes += (chunk as Uint8Array).length;
+      if (bytes > maximumBytes) {
+        throw createTooLongError(maximumBytes);
+      }
+      chunks.push(chunk as Uint8Array);
     }
-    chunks.push(chunk as Uint8Array);
+  } catch (thrown) {
+    throw thrown instanceof CallerError ? thrown : createBrokenError(thrown);
   }
   return Buffer.concat(chunks);
 }
 
+function createBrokenError(cause: unknown): CallerError {
+  return new CallerError(
+    CallerErrorKind.MalformedRequest,
+    "The body broke off before its end",
+    { cause },
+  );
+}
+
 function createTooLongError(maximumBytes: number): CallerError {
   return new CallerError(
     CallerErrorKind.BodyTooLong,
--- a/packages/router/src/caller/caller_error.ts
+++ b/packages/router/src/caller/caller_error.ts
@@ -22,6 +22,9 @@
   BodyTooSlow = "body_too_slow",
   MalformedBody = "malformed_body",
   MalformedHeader = "malformed_header",
+  MalformedRequest = "malformed_request",
+  HeadersTooLong = "headers_too_long",
+  HeadersTooSlow = "headers_too_slow",
   IdempotencyKeyMissing = "idempotency_key_missing",
   IdempotencyKeyRefused = "idempotency_key_refused",
   QueueFull = "queue_full",
@@ -84,6 +87,18 @@
     status: 400,
     remedy: "correct the header or leave it out",
   },
+  [CallerErrorKind.MalformedRequest]: {
+    status: 400,
+    remedy: "send a request in HTTP/1.1",
+  },
+  [CallerErrorKind.HeadersTooLong]: {
+    status: 431,
+    remedy: "send fewer or shorter headers",
+  },
+  [CallerErrorKind.HeadersTooSlow]: {
+    status: 408,
+    remedy: "send the headers faster",
+  },
   [CallerErrorKind.IdempotencyKeyMissing]: {
     status: 400,
     remedy: "send an Idempotency-Key, or one from POST /v1/keys",
--- a/packages/router/src/caller/caller_server.ts
+++ b/packages/router/src/caller/caller_server.ts
@@ -8,12 +8,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Duplex } from "node:stream";
 import { ChildAbort, describeError, type Logger } from "@rattanvane/base";
 import { Answer, type AnswerLimits, convertToCallerError } from "./answer.ts";
 import { CallerError, CallerErrorKind } from "./caller_error.ts";
-
-const BAD_REQUEST_ANSWER =
-  "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+import { convertClientError, sendClientError } from "./client_error.ts";
 
 /** One request with what a handler needs to answer it. */
 export interface CallerExchange {
@@ -54,6 +53,8 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   #lifetime: AbortSignal = AbortSignal.abort();
+  /** The request that each connection is being answered. */
+  readonly #requests = new Map<Duplex, IncomingMessage>();
   #closing = false;
   #active = 0;
 
@@ -69,10 +70,15 @@
     this.#server.on("request", (request, response) => {
       void this.#serve(request, response);
     });
-    this.#server.on("clientError", (_error, socket) => {
-      if (socket.writable) {
-        socket.end(BAD_REQUEST_ANSWER);
+    this.#server.on("clientError", (thrown, socket) => {
+      const error = convertClientError(thrown);
+      options.countError(error.kind);
+      if (this.#requests.get(socket)?.complete) {
+        // An answer now would be taken for that of the request that runs.
+        socket.destroy();
+        return;
       }
+      sendClientError(socket, error);
     });
   }
 
@@ -119,6 +125,9 @@
       response.setHeader("connection", "close");
     }
     this.#active++;
+    const { socket } = request;
+    this.#requests.set(socket, request);
+    response.once("close", () => this.#requests.delete(socket));
     try {
       const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
       const handler = this.#findHandler(request, path);
