Ask whether a home can be reached only after a try

Cause: the liveness check after the first try, made for links that have just come back, kept callers of a dead home waiting for 500 ms; the once package's own test "ends at once for a caller of a VM whose home is dead" failed. Change: a dead home ends the wait before the first try, a lost link after it.

--- a/packages/once/src/key_forwarder.ts
+++ b/packages/once/src/key_forwarder.ts
@@ -42,6 +42,8 @@
   clock: Clock;
   /** False for a VM that is known to be dead; true when in doubt. */
   isLive: (vm: VmId) => boolean;
+  /** False while the link to a VM is lost; asked only after a try. */
+  isReachable?: (vm: VmId) => boolean;
   runForwarded: RunForwarded;
   /** How long a forwarded call may take. */
   timeoutMilliseconds: number;
@@ -111,10 +113,14 @@
     home: VmId,
     signals: { caller: AbortSignal; finished: AbortSignal },
   ): Promise<string> {
-    const { clock, sender, isLive, resendMilliseconds } = this.#options;
+    const { clock, sender, isLive, isReachable, resendMilliseconds } =
+      this.#options;
     const endsAt = clock.now() + this.#options.timeoutMilliseconds;
     let pause = resendMilliseconds;
     while (clock.now() < endsAt) {
+      if (!isLive(home)) {
+        return describeGone(home);
+      }
       if (signals.caller.aborted || this.#signal.aborted) {
         return "the call was given up while another VM had it";
       }
@@ -127,9 +133,9 @@
       if (signals.finished.aborted) {
         break;
       }
-      // Asked after a try, since a home may just have come back.
-      if (!isLive(home)) {
-        return `the VM "${home}", which alone may run this key, is gone`;
+      // The link may have been lost only until this try.
+      if (isReachable?.(home) === false) {
+        return describeGone(home);
       }
     }
     return `the VM "${home}", which alone may run this key, did not answer`;
@@ -152,6 +158,10 @@
   }
 }
 
+function describeGone(home: VmId): string {
+  return `the VM "${home}", which alone may run this key, is gone`;
+}
+
 function createRunMessage(call: KeyedCall, correlation: string): RunKeyMessage {
   const { key, organisation, service, method, path, headers, body } = call;
   return {
