Shorten the ids and hashes that each enqueue carries

Cause: docs/CAPACITY.md names the size of an enqueue; a third of it were hex texts. Ruled out: raw bytes in messages (ids also stand in logs and headers). Change: request ids of 22 characters in place of 36, fingerprints 22 in place of 32, prefixes 11 in place of 16; at least as many bits of fingerprint.

--- a/packages/router/src/caller/caller_server.ts
+++ b/packages/router/src/caller/caller_server.ts
@@ -1,6 +1,5 @@
 /** The HTTP server that callers, the balancer and operators reach. */
 
-import { randomUUID } from "node:crypto";
 import { once } from "node:events";
 import {
   createServer,
@@ -13,6 +12,7 @@
 import { Answer, type AnswerLimits, convertToCallerError } from "./answer.ts";
 import { CallerError, CallerErrorKind } from "./caller_error.ts";
 import { convertClientError, sendClientError } from "./client_error.ts";
+import { createRequestId } from "./request_id.ts";
 
 /** One request with what a handler needs to answer it. */
 export interface CallerExchange {
@@ -114,7 +114,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const requestId = randomUUID();
+    const requestId = createRequestId();
     const answer = new Answer(response, {
       request: requestId,
       limits: this.#options.answers,
--- /dev/null
+++ b/packages/router/src/caller/request_id.ts
@@ -0,0 +1,10 @@
+/** Ids of callers' requests. */
+
+import { randomBytes } from "node:crypto";
+
+const REQUEST_ID_BYTES = 16;
+
+/** Creates an id that is unique in the fleet; short, for messages carry it. */
+export function createRequestId(): string {
+  return randomBytes(REQUEST_ID_BYTES).toString("base64url");
+}
--- a/packages/router/src/ingress/completion_request.ts
+++ b/packages/router/src/ingress/completion_request.ts
@@ -6,7 +6,7 @@
 
 /** Two prompts with the same first characters share an engine's cache. */
 const PREFIX_CHARACTERS = 64;
-const PREFIX_HASH_CHARACTERS = 16;
+const PREFIX_HASH_CHARACTERS = 11;
 const CHARACTERS_PER_TOKEN = 4;
 
 /** The two forms of completions. */
@@ -136,7 +136,7 @@
 function hashPrefix(prompt: string): string {
   return createHash("sha256")
     .update(prompt.slice(0, PREFIX_CHARACTERS))
-    .digest("hex")
+    .digest("base64url")
     .slice(0, PREFIX_HASH_CHARACTERS);
 }
 
--- a/packages/router/src/ingress/ingress_call.ts
+++ b/packages/router/src/ingress/ingress_call.ts
@@ -5,7 +5,8 @@
 import type { HttpHeader } from "@rattanvane/platform";
 import type { RequestId } from "@rattanvane/protocol";
 
-const FINGERPRINT_CHARACTERS = 32;
+/** 132 bits; short, since each enqueue carries it. */
+const FINGERPRINT_CHARACTERS = 22;
 
 /** A request that an organisation may send, read whole. */
 export interface IngressCall {
@@ -35,5 +36,5 @@
   const hash = createHash("sha256");
   hash.update(`${service}\n${options.method}\n${options.path}\n`);
   hash.update(options.body);
-  return hash.digest("hex").slice(0, FINGERPRINT_CHARACTERS);
+  return hash.digest("base64url").slice(0, FINGERPRINT_CHARACTERS);
 }
--- a/packages/router/src/ingress/once_call_runner.ts
+++ b/packages/router/src/ingress/once_call_runner.ts
@@ -1,6 +1,5 @@
 /** Runs calls that must not be repeated, for callers and for other VMs. */
 
-import { randomUUID } from "node:crypto";
 import {
   type Execution,
   ExecutionKind,
@@ -16,6 +15,7 @@
 } from "../caller/caller_error.ts";
 import { computeFingerprint, type IngressCall } from "./ingress_call.ts";
 import type { IngressContext } from "./ingress_context.ts";
+import { createRequestId } from "../caller/request_id.ts";
 import { KeyedCallRunner } from "./keyed_call_runner.ts";
 import { type PlainAnswer, runPlainCall } from "./plain_run.ts";
 
@@ -93,7 +93,7 @@
     }
     const { method, path, headers, body } = keyed;
     return await this.#execute({
-      request: randomUUID(),
+      request: createRequestId(),
       organisation,
       service,
       method,
