Count grants, refusals, retries and losses, and check the metrics page

Cause: an operator could not see waiting times, refusals, endpoint limits, quarantined bodies, platform failures or lost links, and the series by organisation grew for ever. Ruled out: counting in CompletionSink itself, which has no metrics; the run that calls it counts instead, so that errors which handlers throw are not counted twice.

--- a/packages/limits/src/suspect_registry.ts
+++ b/packages/limits/src/suspect_registry.ts
@@ -71,6 +71,12 @@
     return crashes >= this.#settings.crashesUntilQuarantine;
   }
 
+  /** How many bodies are refused now. */
+  countQuarantined(): number {
+    return [...this.#suspects.keys()]
+      .filter((fingerprint) => this.isQuarantined(fingerprint)).length;
+  }
+
   /** How long ago a body's last crash was, in milliseconds. */
   computeAge(fingerprint: string): number {
     const suspect = this.#suspects.get(fingerprint);
--- a/packages/limits/src/suspects_test.ts
+++ b/packages/limits/src/suspects_test.ts
@@ -24,10 +24,13 @@
     registry.recordCrash("f", "a1");
     expect(registry.isSuspect("f")).to.equal(true);
     expect(registry.isQuarantined("f")).to.equal(false);
+    expect(registry.countQuarantined()).to.equal(0);
     registry.recordCrash("f", "a2");
     expect(registry.isQuarantined("f")).to.equal(true);
+    expect(registry.countQuarantined()).to.equal(1);
     await clock.advance(DEFAULT_SUSPECT_SETTINGS.quarantineMilliseconds);
     expect(registry.isQuarantined("f")).to.equal(false);
+    expect(registry.countQuarantined()).to.equal(0);
     expect(registry.isSuspect("f")).to.equal(false);
   });
 
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -8,7 +8,7 @@
 } from "@rattanvane/base";
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
-import type { PlatformError } from "../platform_error.ts";
+import type { PlatformError, PlatformErrorKind } from "../platform_error.ts";
 import { addAbortListener } from "./abort_listener.ts";
 import { parseBaseUrl } from "./base_url.ts";
 import { readBody } from "./body_reader.ts";
@@ -50,6 +50,8 @@
   localAddress?: string;
   bodyLimitBytes?: number;
   backoff?: BackoffOptions;
+  /** Called with the kind of each call that failed with its retries. */
+  countFailure?: (kind: PlatformErrorKind) => void;
 }
 
 /** The way to the platform that all clients of one VM share. */
@@ -65,6 +67,7 @@
       bodyLimitBytes: DEFAULT_BODY_LIMIT_BYTES,
       localAddress: "",
       backoff: DEFAULT_BACKOFF,
+      countFailure: () => {},
       ...options,
     };
     const { origin, pathPrefix } = parseBaseUrl(options.url);
@@ -89,7 +92,11 @@
     const timer = new CallTimer(this.#options.clock, signal);
     timer.startLimit(this.#options.deadlineMilliseconds);
     try {
-      return await this.#runWithRetries(call, timer);
+      const answer = await this.#runWithRetries(call, timer);
+      if (answer.isErr() && !signal.aborted) {
+        this.#options.countFailure(answer.error.kind);
+      }
+      return answer;
     } finally {
       timer.stop();
     }
--- a/packages/platform/src/http/platform_transport_test.ts
+++ b/packages/platform/src/http/platform_transport_test.ts
@@ -112,12 +112,15 @@
 
   for (const { fault, handler, kind, error } of FAULT_CASES) {
     it(`a ${kind} ends as ${error} when ${fault} outlasts it`, async () => {
+      const counted: PlatformErrorKind[] = [];
       const server = await startServer(handler);
       const transport = createTransport(server.url, {
         backoff: { initialMilliseconds: 1e9, maximumMilliseconds: 1e9 },
+        countFailure: (kind) => counted.push(kind),
       });
       const result = await transport.run(createCall(kind), owner.signal);
       expect(result._unsafeUnwrapErr().kind).to.equal(error);
+      expect(counted).to.deep.equal([error]);
       expect(server.requests.length).to.equal(1);
     });
   }
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -42,6 +42,10 @@
   logger: Logger;
   /** Counts bytes that were written. */
   countSent: (bytes: number) => void;
+  /** Counts messages that were not sent. */
+  countDropped: (messages: number) => void;
+  /** Counts an open connection that broke. */
+  countLost: () => void;
 }
 
 interface OpenConnection {
@@ -77,6 +81,7 @@
       this.#environment.logger.warn("dropped a message; the queue is full", {
         peer: this.#contact.vm,
       });
+      this.#environment.countDropped(1);
       return;
     }
     this.#queue.push(payload);
@@ -103,6 +108,9 @@
       this.changes.emit(true);
       await this.#pump(connection, signal);
       connection.socket.close();
+      if (!signal.aborted) {
+        this.#environment.countLost();
+      }
       this.changes.emit(false);
     }
   }
@@ -117,6 +125,7 @@
 
   /** What waited for a peer that cannot be reached is stale; it is dropped. */
   async #pauseAfterFailure(signal: AbortSignal): Promise<void> {
+    this.#environment.countDropped(this.#queue.length);
     this.#queue = [];
     this.#queuedBytes = 0;
     const delay = computeBackoff(this.#failures, {
--- a/packages/protocol/src/peer_network.ts
+++ b/packages/protocol/src/peer_network.ts
@@ -37,6 +37,10 @@
   receivedBytes: number;
   sentMessages: number;
   receivedMessages: number;
+  /** Not sent, because a link's queue was full or its peer away. */
+  droppedMessages: number;
+  /** Connections that were open and broke. */
+  lostLinks: number;
 }
 
 /** A link to a peer opened or was lost. */
@@ -57,6 +61,8 @@
     receivedBytes: 0,
     sentMessages: 0,
     receivedMessages: 0,
+    droppedMessages: 0,
+    lostLinks: 0,
   };
   readonly linkChanges = new Emitter<LinkChange>();
   readonly #options: PeerNetworkOptions;
@@ -80,6 +86,12 @@
         this.traffic.sentBytes += bytes;
         this.traffic.sentMessages++;
       },
+      countDropped: (messages) => {
+        this.traffic.droppedMessages += messages;
+      },
+      countLost: () => {
+        this.traffic.lostLinks++;
+      },
     };
     this.#server = createServer((socket) => this.#acceptSocket(socket));
   }
--- a/packages/protocol/src/peer_network_test.ts
+++ b/packages/protocol/src/peer_network_test.ts
@@ -160,7 +160,7 @@
     const greeting = listener.waitForMessage();
     dialer.network.send("vm-1", createMessage(1));
     await greeting;
-    const lost = new Deferred<void>();
+    let lost = new Deferred<void>();
     dialer.network.linkChanges.listen((change) => {
       if (!change.connected) {
         lost.resolve();
@@ -168,6 +168,12 @@
     }, lifetime.signal);
     first.abort();
     await lost.promise;
+    const { traffic } = dialer.network;
+    expect([traffic.lostLinks, traffic.droppedMessages]).to.deep.equal([1, 0]);
+    lost = new Deferred();
+    dialer.network.send("vm-1", createMessage(1));
+    await lost.promise;
+    expect([traffic.lostLinks, traffic.droppedMessages]).to.deep.equal([1, 1]);
     const restarted = await startPeer(
       "vm-1",
       { fleetKeys: [FLEET_KEY], port: listener.contact.controlPort },
--- a/packages/router/src/host/platform_clients.ts
+++ b/packages/router/src/host/platform_clients.ts
@@ -7,6 +7,7 @@
   HttpVmList,
   type ObjectStore,
   PlatformBudget,
+  type PlatformErrorKind,
   PlatformTransport,
   type TableService,
   type VmList,
@@ -23,10 +24,14 @@
 /** Creates the clients; their connections close when the signal aborts. */
 export function createPlatformClients(
   settings: RouterSettings,
-  options: { clock: Clock; random: RandomSource },
+  options: {
+    clock: Clock;
+    random: RandomSource;
+    countFailure: (kind: PlatformErrorKind) => void;
+  },
   signal: AbortSignal,
 ): PlatformClients {
-  const { clock, random } = options;
+  const { clock, random, countFailure } = options;
   const { platform, listen } = settings;
   const budget = new PlatformBudget(platform, { clock, random });
   const transport = new PlatformTransport({
@@ -36,6 +41,7 @@
     budget,
     deadlineMilliseconds: platform.requestTimeoutMilliseconds,
     localAddress: listen.host,
+    countFailure,
   }, signal);
   return {
     table: new HttpTableService(transport),
--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -21,6 +21,7 @@
   type ZoneId,
 } from "@rattanvane/protocol";
 import {
+  type PoolObserver,
   type PoolPeers,
   PoolScheduler,
   type PoolSchedulerSettings,
@@ -38,6 +39,7 @@
   logger: Logger;
   settings: PoolSchedulerSettings;
   suspects: SuspectRegistry;
+  observer: PoolObserver;
   poller: LoadPoller;
   findConfiguration: () => FleetConfiguration | undefined;
   /** The VMs that a pool's scheduler works with at the moment. */
@@ -90,6 +92,7 @@
       logger: this.#options.logger,
       settings: this.#options.settings,
       suspects: this.#options.suspects,
+      observer: this.#options.observer,
     });
     const lifetime = new ChildAbort(signal);
     this.#hosted.set(formatPool(pool), { pool, scheduler, lifetime });
--- a/packages/router/src/ingress/attempt.ts
+++ b/packages/router/src/ingress/attempt.ts
@@ -172,7 +172,7 @@
     const service = this.#entry.call.service.name;
     const organisation = this.#entry.call.organisation.name;
     metrics.attempts.inc({ service, outcome });
-    metrics.cost.inc({ organisation, service }, this.#current.cost);
+    metrics.cost.add({ organisation, service }, this.#current.cost);
     if (this.#firstByteAt !== undefined) {
       const seconds = firstByteMilliseconds / MILLISECONDS_PER_SECOND;
       metrics.firstByte.observe({ service }, seconds);
--- a/packages/router/src/ingress/attempt_environment.ts
+++ b/packages/router/src/ingress/attempt_environment.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from "@rattanvane/configuration";
 import type { EndpointClient } from "@rattanvane/platform";
 import type { EndpointId } from "@rattanvane/protocol";
-import type { RouterMetrics } from "../router_metrics.ts";
+import type { IngressMetrics } from "../metrics/ingress_metrics.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
 
@@ -23,7 +23,7 @@
   retries: RetryPolicy;
   clock: Clock;
   logger: Logger;
-  metrics: RouterMetrics;
+  metrics: IngressMetrics;
   limits: AttemptLimits;
   /** The first signs stream ids, all are accepted. */
   fleetKeys: readonly string[];
--- a/packages/router/src/ingress/completion_run.ts
+++ b/packages/router/src/ingress/completion_run.ts
@@ -57,12 +57,12 @@
 
   /** Answers the caller; the signal aborts when the caller is gone. */
   async run(signal: AbortSignal): Promise<void> {
-    const { environment, entry, sink } = this.#options;
+    const { environment, entry } = this.#options;
     environment.retries.countRequest(entry.call);
     for (;;) {
       const answer = await environment.dispatcher.waitForGrant(entry, signal);
       if (answer.kind === MessageKind.Refuse) {
-        await sink.fail(convertRefusal(answer, entry));
+        await this.#fail(convertRefusal(answer, entry));
         return;
       }
       const error = await this.#runAttempt(signal);
@@ -70,7 +70,7 @@
         return;
       }
       if (!await this.#waitBeforeRetry(error, signal)) {
-        await sink.fail(convertEndpointError(error, entry));
+        await this.#fail(convertEndpointError(error, entry));
         return;
       }
     }
@@ -78,14 +78,14 @@
 
   /** Goes on with a stream that another VM began, from its offset. */
   async runResumed(offset: number, signal: AbortSignal): Promise<void> {
-    const { environment, entry, sink } = this.#options;
+    const { environment, entry } = this.#options;
     this.#offset = offset;
     const attempt = new Attempt(environment, entry);
     this.#startAttempt(attempt);
     const error = await this.#resumeUntilEnd(attempt, signal);
     if (error !== undefined) {
       await attempt.stopWithError(error);
-      await sink.fail(
+      await this.#fail(
         new CallerError(
           CallerErrorKind.StreamGone,
           "The engine no longer holds the stream",
@@ -247,18 +247,25 @@
       return error;
     }
     attempt.finish(AttemptOutcome.Completed);
-    await this.#options.sink.fail(
+    await this.#fail(
       new CallerError(CallerErrorKind.MalformedBody, thrown.message),
     );
     return undefined;
   }
 
+  /** Ends the answer with an error, which counts as one the caller was given. */
+  async #fail(error: CallerError): Promise<void> {
+    const { environment, sink } = this.#options;
+    environment.metrics.callerErrors.inc({ kind: error.kind });
+    await sink.fail(error);
+  }
+
   /** False when the retry budget, the deadline or the caller forbids it. */
   async #waitBeforeRetry(
     error: EndpointError,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const { clock, retries, logger } = this.#options.environment;
+    const { clock, retries, logger, metrics } = this.#options.environment;
     const { call, attemptsMade } = this.#options.entry;
     if (signal.aborted) {
       return false;
@@ -268,6 +275,7 @@
       return false;
     }
     const delay = retries.computeDelay(attemptsMade);
+    metrics.retries.inc({ service: call.service.name, reason: error.kind });
     logger.info("retries a request at another endpoint", {
       request: call.request,
       organisation: call.organisation.name,
--- a/packages/router/src/ingress/completion_run_test.ts
+++ b/packages/router/src/ingress/completion_run_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import type { CallerError } from "../caller/caller_error.ts";
+import type { IngressMetrics } from "../metrics/ingress_metrics.ts";
 import {
   createEntry,
   createEnvironment,
@@ -54,6 +55,7 @@
   sink: CollectingSink;
   endpoint: ScriptedEndpoint;
   outcomes: AttemptOutcome[];
+  metrics: IngressMetrics;
 }
 
 /** Runs a completion against a script, granting whatever it asks for. */
@@ -65,8 +67,9 @@
   const endpoint = new ScriptedEndpoint(answers, resumes);
   const sink = new CollectingSink();
   const entry = createEntry(ingress, { body: BODY });
+  const environment = createEnvironment(ingress, endpoint);
   const run = new CompletionRun({
-    environment: createEnvironment(ingress, endpoint),
+    environment,
     entry,
     request: parseCompletionRequest(CompletionForm.Text, entry.call.body),
     sink,
@@ -82,7 +85,7 @@
   await done;
   const outcomes = ingress.sender.list(MessageKind.Finish)
     .map((message) => message.outcome);
-  return { sink, endpoint, outcomes };
+  return { sink, endpoint, outcomes, metrics: environment.metrics };
 }
 
 const WHOLE = [formatToken(1, "one"), formatToken(2, " two"), formatEnd(2)];
@@ -162,9 +165,16 @@
 
   it("ends with an error when no engine completes the stream", async () => {
     const broken = { parts: WHOLE.slice(0, 1), breaks: true };
-    const { sink } = await runScript(Array(MOST_GRANTS).fill(broken));
+    const { sink, metrics } = await runScript(
+      Array(MOST_GRANTS).fill(broken),
+    );
     expect(sink.finished).to.equal(false);
     expect(sink.error?.outcome).to.equal("unknown");
+    const errors = await metrics.callerErrors.get();
+    expect(errors.values.map(({ labels, value }) => [labels.kind, value]))
+      .to.deep.equal([[sink.error?.kind, 1]]);
+    const retries = await metrics.retries.get();
+    expect(retries.values[0]?.value).to.be.greaterThan(0);
   });
 
   it("passes an engine's refusal of the request on", async () => {
--- a/packages/router/src/ingress/once_call_runner.ts
+++ b/packages/router/src/ingress/once_call_runner.ts
@@ -22,7 +22,7 @@
 /** What the runner works with. */
 export interface OnceCallRunnerOptions {
   context: IngressContext;
-  calls: KeyedCalls;
+  calls: Pick<KeyedCalls, "run" | "issueKey">;
 }
 
 const OUTCOMES: Record<KeyError["outcome"], CallOutcome> = {
@@ -62,6 +62,8 @@
       (lifetime) => this.#execute(call, lifetime),
       signal,
     );
+    const { metrics } = this.#options.context.options.environment;
+    metrics.keyedCalls.inc({ outcome: describeOutcome(result) });
     return readAnswer(result);
   }
 
@@ -133,6 +135,11 @@
   }
 }
 
+/** A refused key has an outcome of its own, as nothing of the call was sent. */
+function describeOutcome(result: KeyedCallResult): string {
+  return result.isErr() ? "key_refused" : result.value.execution.kind;
+}
+
 /** Returns the answer of a call that ran; throws a CallerError otherwise. */
 function readAnswer(result: KeyedCallResult): PlainAnswer {
   if (result.isErr()) {
--- a/packages/router/src/ingress/plain_run.ts
+++ b/packages/router/src/ingress/plain_run.ts
@@ -116,7 +116,7 @@
   { environment, entry, repeatable }: PlainRunOptions,
   signal: AbortSignal,
 ): Promise<boolean> {
-  const { clock, retries, logger } = environment;
+  const { clock, retries, logger, metrics } = environment;
   const allowed = repeatable || isNotRun(error);
   const cancelled = error.kind === EndpointErrorKind.Cancelled;
   if (!allowed || cancelled || signal.aborted) {
@@ -126,10 +126,12 @@
   if (!isNotRun(error) && !retries.takeRetry(entry.call)) {
     return false;
   }
+  const service = entry.call.service.name;
+  metrics.retries.inc({ service, reason: error.kind });
   logger.info("retries a call at another endpoint", {
     request: entry.call.request,
     organisation: entry.call.organisation.name,
-    service: entry.call.service.name,
+    service,
     reason: error.kind,
   });
   await clock.sleep(retries.computeDelay(entry.attemptsMade), signal);
--- /dev/null
+++ b/packages/router/src/metrics/metrics_page_test.ts
@@ -0,0 +1,49 @@
+import { readFileSync } from "node:fs";
+import { ManualClock } from "@rattanvane/base";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { createMetrics } from "../testing/fixtures.ts";
+
+const PAGE = "docs/operators/metrics.md";
+const CELLS = 6;
+
+interface DescribedMetric {
+  name: string;
+  help: string;
+  type: string;
+  labelNames: string[];
+}
+
+function readRows(): string[][] {
+  return readFileSync(PAGE, "utf8").split("\n")
+    .filter((line) => line.startsWith("| `"))
+    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+}
+
+function describeMetric(metric: DescribedMetric): string[] {
+  const parts = metric.name.split("_");
+  const unit = metric.name.endsWith("_total") ? parts.at(-2) : parts.at(-1);
+  const labels = metric.labelNames.map((label) => `\`${label}\``);
+  return [
+    `\`${metric.name}\``,
+    metric.type,
+    labels.join(", ") || "-",
+    unit ?? "",
+    metric.help,
+  ];
+}
+
+describe("the metrics page", () => {
+  it("lists every metric with type, labels, unit and meaning", () => {
+    const { registry } = createMetrics(new ManualClock());
+    const metrics = registry.getMetricsAsArray() as unknown as (
+      DescribedMetric[]
+    );
+    const expected = metrics.map(describeMetric)
+      .sort((one, other) => String(one[0]) < String(other[0]) ? -1 : 1);
+    const rows = readRows();
+    expect(rows.map((row) => row.slice(0, CELLS - 1))).to.deep.equal(expected);
+    expect(rows.filter((row) => row.length !== CELLS || row.at(-1) === ""))
+      .to.deep.equal([]);
+  });
+});
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -113,6 +113,7 @@
     this.#options = options;
     this.#signal = signal;
     this.self = createContact(settings);
+    this.metrics = new RouterMetrics(clock);
     this.links = new LinkStates(clock);
     this.random = new RandomSource(settings.seed ?? randomInt(HIGHEST_SEED));
     this.suspects = new SuspectRegistry(clock, {
@@ -121,7 +122,11 @@
     });
     this.platform = createPlatformClients(
       settings,
-      { clock, random: this.random },
+      {
+        clock,
+        random: this.random,
+        countFailure: (kind) => this.metrics.platformFailures.inc({ kind }),
+      },
       signal,
     );
     this.#endpoints = new HttpEndpointClient({
@@ -148,7 +153,7 @@
       clock,
       logger: logger.forPart("ingress"),
     });
-    this.metrics = this.#createMetrics();
+    this.#registerGauges();
     const context = this.#createContext();
     const forwarder = this.#createForwarder((call, lifetime) =>
       runner.runForwarded(call, lifetime)
@@ -278,6 +283,7 @@
         rebuildMilliseconds: scheduling.rebuildMilliseconds,
       },
       suspects: this.suspects,
+      observer: this.metrics.scheduler,
       poller: new LoadPoller({
         client: this.#endpoints,
         clock,
@@ -313,20 +319,15 @@
     });
   }
 
-  #createMetrics(): RouterMetrics {
-    const { traffic } = this.network;
-    const countPools = (unleasedOnly: boolean) =>
-      this.host.describeStatus()
-        .filter((pool) => !unleasedOnly || !pool.leased).length;
-    return new RouterMetrics({
+  #registerGauges(): void {
+    this.metrics.registerGauges({
       countWaiting: () => this.ledger.waiting,
       countRunning: () => this.ledger.running,
-      countPools: () => countPools(false),
-      countUnleasedPools: () => countPools(true),
+      listPools: () => this.host.describeStatus(),
+      countQuarantined: () => this.suspects.countQuarantined(),
       countLiveVms: () => this.membership.listLive(this.self.zone).length,
       readConfigurationVersion: () => this.store.current.version,
-      readSentBytes: () => traffic.sentBytes,
-      readReceivedBytes: () => traffic.receivedBytes,
+      readTraffic: () => this.network.traffic,
     });
   }
 
@@ -350,7 +351,7 @@
         retries: new BudgetedRetryPolicy(budget, this.random),
         clock,
         logger: logger.forPart("ingress"),
-        metrics: this.metrics,
+        metrics: this.metrics.ingress,
         limits: { ...requests, plainAnswerBytes: limits.bodyBytes },
         fleetKeys: settings.fleetKeys,
         findEndpoint: (endpoint) => this.store.current.endpoints.get(endpoint),
@@ -404,7 +405,7 @@
         bufferBytes: limits.answerBufferBytes,
         stallMilliseconds: requests.idleTimeoutMilliseconds,
       },
-      countError: (kind) => this.metrics.callerErrors.inc({ kind }),
+      countError: (kind) => this.metrics.ingress.callerErrors.inc({ kind }),
       logger: logger.forPart("caller"),
       handlers: [
         new LivenessHandler(),
--- a/packages/router/src/testing/fixtures.ts
+++ b/packages/router/src/testing/fixtures.ts
@@ -24,6 +24,7 @@
 import { LedgerEntry } from "../ingress/ledger_entry.ts";
 import { RetryPolicy } from "../ingress/retry_policy.ts";
 import { SchedulerDirectory } from "../ingress/scheduler_directory.ts";
+import type { PoolStatus } from "@rattanvane/scheduling";
 import { RouterMetrics } from "../router_metrics.ts";
 import type { ScriptedEndpoint } from "./scripted_endpoint.ts";
 
@@ -142,7 +143,7 @@
     retries: new CountedRetries(),
     clock: ingress.clock,
     logger: createSilentLogger(),
-    metrics: createMetrics(),
+    metrics: new RouterMetrics(ingress.clock).ingress,
     limits: {
       firstByteTimeoutMilliseconds: 1_000,
       idleTimeoutMilliseconds: 1_000,
@@ -226,16 +227,28 @@
   };
 }
 
-function createMetrics(): RouterMetrics {
+/** Creates metrics whose gauges read the given pools, and zeros. */
+export function createMetrics(
+  clock: ManualClock,
+  pools: PoolStatus[] = [],
+): RouterMetrics {
   const readZero = () => 0;
-  return new RouterMetrics({
+  const metrics = new RouterMetrics(clock);
+  metrics.registerGauges({
     countWaiting: readZero,
     countRunning: readZero,
-    countPools: readZero,
-    countUnleasedPools: readZero,
+    listPools: () => pools,
+    countQuarantined: readZero,
     countLiveVms: readZero,
     readConfigurationVersion: readZero,
-    readSentBytes: readZero,
-    readReceivedBytes: readZero,
+    readTraffic: () => ({
+      sentBytes: 0,
+      receivedBytes: 0,
+      sentMessages: 0,
+      receivedMessages: 0,
+      droppedMessages: 0,
+      lostLinks: 0,
+    }),
   });
+  return metrics;
 }
--- a/packages/scheduling/src/pool/granter.ts
+++ b/packages/scheduling/src/pool/granter.ts
@@ -150,7 +150,7 @@
       endpoint.soleAttempt = attempt;
     }
     sender.send(entry.ingress, message);
-    this.#logGrant(waiting, message);
+    this.#tellGrant(waiting, message);
   }
 
   #recordGrant(waiting: WaitingEntry, message: GrantMessage): void {
@@ -179,16 +179,20 @@
     return `${pool.service}.${self}.${this.#startedAt}.${number}`;
   }
 
-  #logGrant(waiting: WaitingEntry, message: GrantMessage): void {
-    this.#state.options.logger.info("granted an attempt", {
+  #tellGrant(waiting: WaitingEntry, message: GrantMessage): void {
+    const { logger, observer } = this.#state.options;
+    const waitedMilliseconds = this.#state.now - waiting.waitingSince;
+    const { pool, reason } = message;
+    observer?.recordGrant(pool, { reason, waitedMilliseconds });
+    logger.info("granted an attempt", {
       request: message.request,
       attempt: message.attempt,
       organisation: waiting.organisation,
-      service: message.pool.service,
-      zone: message.pool.zone,
+      service: pool.service,
+      zone: pool.zone,
       endpoint: message.endpoint,
-      reason: message.reason,
-      waitedMilliseconds: this.#state.now - waiting.waitingSince,
+      reason,
+      waitedMilliseconds,
     });
   }
 }
--- a/packages/scheduling/src/pool/mod.ts
+++ b/packages/scheduling/src/pool/mod.ts
@@ -1,5 +1,6 @@
 /** The scheduler of one pool. */
 
+export { PoolObserver } from "./pool_observer.ts";
 export type { PoolSchedulerOptions } from "./pool_state.ts";
 export { type PoolPeers, PoolScheduler } from "./pool_scheduler.ts";
 export type {
--- a/packages/scheduling/src/pool/pool_scheduler_test.ts
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -3,10 +3,12 @@
   type Message,
   MessageKind,
   PlacementReason,
+  type PoolId,
   RefusalReason,
 } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { PoolObserver } from "./pool_observer.ts";
 import { PoolWorld, type PoolWorldOptions } from "./testing/pool_world.ts";
 
 function createWorld(options: Partial<PoolWorldOptions> = {}): PoolWorld {
@@ -36,6 +38,20 @@
   }
 }
 
+/** Keeps what it is told. */
+class RecordingObserver extends PoolObserver {
+  readonly waits: number[] = [];
+  readonly refusals: RefusalReason[] = [];
+
+  override recordGrant(_: PoolId, grant: { waitedMilliseconds: number }): void {
+    this.waits.push(grant.waitedMilliseconds);
+  }
+
+  override recordRefusal(_: PoolId, reason: RefusalReason): void {
+    this.refusals.push(reason);
+  }
+}
+
 const LONG = { vm: "z1-vm1", organisation: "a", cost: 5000 };
 
 function listReasons(world: PoolWorld, vm: string): RefusalReason[] {
@@ -149,7 +165,8 @@
 describe("PoolScheduler log", () => {
   it("has a line with all names for each grant and refusal", async () => {
     const logger = new RecordingLogger();
-    const world = createWorld({ logger, queueLimits: { a: 2 } });
+    const observer = new RecordingObserver();
+    const world = createWorld({ logger, observer, queueLimits: { a: 2 } });
     await world.run(1000);
     world.addRequests(11, LONG);
     await world.run(50);
@@ -166,6 +183,8 @@
       reason: PlacementReason.LeastLoaded,
     });
     expect(line?.fields).to.include.keys("attempt", "endpoint");
+    expect(observer.waits).to.deep.equal(Array(8).fill(0));
+    expect(observer.refusals).to.deep.equal([RefusalReason.QueueFull]);
   });
 });
 
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -10,6 +10,7 @@
 import type { MessageSender, PoolId, Term, VmId } from "@rattanvane/protocol";
 import { AttemptTable } from "./attempt_table.ts";
 import { PoolEndpoints } from "./pool_endpoints.ts";
+import type { PoolObserver } from "./pool_observer.ts";
 import { PoolQueue } from "./pool_queue.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import type { PoolSchedulerSettings } from "./settings.ts";
@@ -28,6 +29,7 @@
   settings: PoolSchedulerSettings;
   /** The VM's own; it spreads by gossip. */
   suspects: SuspectRegistry;
+  observer?: PoolObserver;
 }
 
 /** The queue, the endpoints and the attempts of one pool. */
--- a/packages/scheduling/src/pool/refuser.ts
+++ b/packages/scheduling/src/pool/refuser.ts
@@ -34,7 +34,7 @@
 
   /** Refuses an entry that does not wait in the queue, or no longer. */
   refuse(entry: QueueEntry, reason: RefusalReason): void {
-    const { pool, sender, logger } = this.#state.options;
+    const { pool, sender, logger, observer } = this.#state.options;
     const retryAfterMilliseconds = this.#computeRetryAfter(entry, reason);
     sender.send(entry.ingress, {
       kind: MessageKind.Refuse,
@@ -43,6 +43,7 @@
       reason,
       retryAfterMilliseconds,
     });
+    observer?.recordRefusal(pool, reason);
     logger.info("refused a request", {
       request: entry.request,
       attempt: entry.attemptsMade,
--- a/packages/scheduling/src/pool/testing/pool_world.ts
+++ b/packages/scheduling/src/pool/testing/pool_world.ts
@@ -15,6 +15,7 @@
   type SchedulerMessage,
   type VmId,
 } from "@rattanvane/protocol";
+import type { PoolObserver } from "../pool_observer.ts";
 import { PoolScheduler } from "../pool_scheduler.ts";
 import {
   DEFAULT_POOL_SCHEDULER_SETTINGS,
@@ -51,6 +52,7 @@
   settings?: Partial<PoolSchedulerSettings>;
   leased?: boolean;
   logger?: Logger;
+  observer?: PoolObserver;
 }
 
 /** A scheduler that runs in a world. */
@@ -121,7 +123,7 @@
     hidden: ReadonlySet<VmId> = new Set(),
   ): RunningScheduler {
     const zone = vm.split("-")[0] as string;
-    const { seed, settings, leased = true } = this.#options;
+    const { seed, settings, leased = true, observer } = this.#options;
     const suspects = new SuspectRegistry(this.clock, DEFAULT_SUSPECT_SETTINGS);
     const scheduler = new PoolScheduler({
       pool: { zone, service: SERVICE },
@@ -134,6 +136,7 @@
       logger: this.#options.logger ?? createSilentLogger(),
       settings: { ...DEFAULT_POOL_SCHEDULER_SETTINGS, ...settings },
       suspects,
+      ...(observer === undefined ? {} : { observer }),
     });
     const abort = new AbortController();
     const running = { zone, vm, scheduler, suspects, abort, hidden };
