Check the errors page, and tell unknown for streams that are gone

Cause: no page named every error; a stream that could not be resumed, and a body that an engine had refused after it was sent, were told not_run although an attempt had left. Ruled out: writing the outcomes down on the page only; they now stand with each kind, and a kind whose outcome is always unknown cannot fall back to not_run. Change: kinds and texts of callers' errors in files of their own, with meaning and outcomes; docs/operators/errors.md compared with all kinds and remedies.

--- /dev/null
+++ b/packages/router/src/caller/caller_error_texts.ts
@@ -0,0 +1,168 @@
+/** Status, meaning and remedy of each kind of error that callers see. */
+
+import { CallerErrorKind, CallOutcome } from "./caller_error_kind.ts";
+
+/** What is the same of all errors of one kind. */
+export interface CallerErrorText {
+  status: number;
+  /** What an error of the kind can say; the first unless it is told. */
+  outcomes: readonly [CallOutcome, ...CallOutcome[]];
+  /** A sentence for the operators' page. */
+  meaning: string;
+  remedy: string;
+}
+
+const NOT_RUN = [CallOutcome.NotRun] as const;
+const UNKNOWN = [CallOutcome.Unknown] as const;
+const EITHER = [CallOutcome.NotRun, CallOutcome.Unknown] as const;
+
+/** The texts of all kinds. */
+export const CALLER_ERROR_TEXTS: Readonly<
+  Record<CallerErrorKind, CallerErrorText>
+> = {
+  [CallerErrorKind.MissingKey]: {
+    status: 401,
+    outcomes: NOT_RUN,
+    meaning: "The request carries no key.",
+    remedy: 'send the header "Authorization: Bearer KEY"',
+  },
+  [CallerErrorKind.WrongKey]: {
+    status: 401,
+    outcomes: NOT_RUN,
+    meaning: "The key belongs to nobody, or not to an operator.",
+    remedy: "check the key, or ask an operator for a new one",
+  },
+  [CallerErrorKind.NotFound]: {
+    status: 404,
+    outcomes: NOT_RUN,
+    meaning: "There is nothing at the path.",
+    remedy: "check the path against the page for callers",
+  },
+  [CallerErrorKind.MethodNotAllowed]: {
+    status: 405,
+    outcomes: NOT_RUN,
+    meaning: "The path does not take the method.",
+    remedy: "use the method that the page for callers names",
+  },
+  [CallerErrorKind.UnknownService]: {
+    status: 404,
+    outcomes: NOT_RUN,
+    meaning: "No service has the name, or one of another kind.",
+    remedy: "check the name of the model or service",
+  },
+  [CallerErrorKind.ServiceNotAllowed]: {
+    status: 403,
+    outcomes: NOT_RUN,
+    meaning: "The organisation may not reach the service.",
+    remedy: "ask an operator to allow the organisation this service",
+  },
+  [CallerErrorKind.BodyTooLong]: {
+    status: 413,
+    outcomes: NOT_RUN,
+    meaning: "The body is longer than this VM takes.",
+    remedy: "send a shorter body",
+  },
+  [CallerErrorKind.BodyTooSlow]: {
+    status: 408,
+    outcomes: NOT_RUN,
+    meaning: "The body did not arrive in time.",
+    remedy: "send the body faster",
+  },
+  [CallerErrorKind.MalformedBody]: {
+    status: 400,
+    outcomes: EITHER,
+    meaning: "The body cannot be read, or the engine refused it.",
+    remedy: "send a JSON object as the page for callers describes it",
+  },
+  [CallerErrorKind.MalformedHeader]: {
+    status: 400,
+    outcomes: NOT_RUN,
+    meaning: "A header holds what it cannot hold.",
+    remedy: "correct the header or leave it out",
+  },
+  [CallerErrorKind.IdempotencyKeyMissing]: {
+    status: 400,
+    outcomes: NOT_RUN,
+    meaning: "The call must not be repeated and has no key.",
+    remedy: "send an Idempotency-Key, or one from POST /v1/keys",
+  },
+  [CallerErrorKind.IdempotencyKeyRefused]: {
+    status: 409,
+    outcomes: EITHER,
+    meaning: "The key cannot be used for the call.",
+    remedy: "use a new key only for a call that is new",
+  },
+  [CallerErrorKind.QueueFull]: {
+    status: 429,
+    outcomes: EITHER,
+    meaning: "Too many requests wait.",
+    remedy: "send the request again after the time in Retry-After",
+  },
+  [CallerErrorKind.WaitedTooLong]: {
+    status: 503,
+    outcomes: EITHER,
+    meaning: "The deadline passed before an endpoint was free.",
+    remedy: "send the request again, or allow it a longer deadline",
+  },
+  [CallerErrorKind.Quarantined]: {
+    status: 422,
+    outcomes: EITHER,
+    meaning: "The body was running when endpoints crashed.",
+    remedy: "change the request; it crashed the endpoints that ran it",
+  },
+  [CallerErrorKind.NoEndpoint]: {
+    status: 503,
+    outcomes: EITHER,
+    meaning: "No endpoint is in use or could be reached.",
+    remedy: "send the request again later",
+  },
+  [CallerErrorKind.EndpointFailed]: {
+    status: 502,
+    outcomes: UNKNOWN,
+    meaning: "The last attempt failed and may not be repeated.",
+    remedy: "find out whether the call took effect before sending it again",
+  },
+  [CallerErrorKind.AnswerTooLong]: {
+    status: 502,
+    outcomes: UNKNOWN,
+    meaning: "The answer of a plain service is too long to hold.",
+    remedy: "ask for a shorter answer",
+  },
+  [CallerErrorKind.StreamGone]: {
+    status: 410,
+    outcomes: UNKNOWN,
+    meaning: "A stream cannot be taken up again.",
+    remedy: "send the request again from the start",
+  },
+  [CallerErrorKind.CallNotRun]: {
+    status: 503,
+    outcomes: NOT_RUN,
+    meaning: "A keyed call was not run.",
+    remedy: "send the call again with the same key",
+  },
+  [CallerErrorKind.CallUnknown]: {
+    status: 502,
+    outcomes: UNKNOWN,
+    meaning: "A keyed call may have run.",
+    remedy: "send it again with the same key to learn more; use a new key " +
+      "only once you know that it did not take effect",
+  },
+  [CallerErrorKind.ShuttingDown]: {
+    status: 503,
+    outcomes: NOT_RUN,
+    meaning: "The VM takes no more requests.",
+    remedy: "send the request again; another VM will take it",
+  },
+  [CallerErrorKind.NotReady]: {
+    status: 503,
+    outcomes: NOT_RUN,
+    meaning: "The VM has no configuration yet, or is not in service.",
+    remedy: "wait until /readyz answers 200",
+  },
+  [CallerErrorKind.Internal]: {
+    status: 500,
+    outcomes: UNKNOWN,
+    meaning: "The router has a fault.",
+    remedy: "tell an operator the request id",
+  },
+};
--- a/packages/router/src/ingress/completion_run.ts
+++ b/packages/router/src/ingress/completion_run.ts
@@ -20,7 +20,11 @@
 } from "./completion_request.ts";
 import type { CompletionSink } from "./completion_sink.ts";
 import type { LedgerEntry } from "./ledger_entry.ts";
-import { convertEndpointError, convertRefusal } from "./refusal.ts";
+import {
+  computeOutcome,
+  convertEndpointError,
+  convertRefusal,
+} from "./refusal.ts";
 import { encodeTicket } from "./stream_ticket.ts";
 
 const OK = 200;
@@ -248,7 +252,9 @@
     }
     attempt.finish(AttemptOutcome.Completed);
     await this.#fail(
-      new CallerError(CallerErrorKind.MalformedBody, thrown.message),
+      new CallerError(CallerErrorKind.MalformedBody, thrown.message, {
+        outcome: computeOutcome(this.#options.entry),
+      }),
     );
     return undefined;
   }
--- a/packages/router/src/ingress/completion_run_test.ts
+++ b/packages/router/src/ingress/completion_run_test.ts
@@ -183,5 +183,6 @@
     ]);
     expect(endpoint.requests).to.have.length(1);
     expect(sink.error?.message).to.contain("too many tokens");
+    expect(sink.error?.outcome).to.equal("unknown");
   });
 });
