--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -172,7 +172,8 @@
 
   #runTask(name: string, task: Promise<void>): void {
     task.catch((thrown) => {
-      this.#logger.error(`the task "${name}" failed`, {
+      this.#logger.error("a task failed", {
+        task: name,
         reason: describeError(thrown),
       });
     });
