Check the outages, morning and architecture pages against the code

Cause: no page said what goes on in an outage or what to look at each morning; the architecture's table had words of its own; 'Add a kind of service' left out the questionnaire, which a trial with a third kind showed by its build error. Ruled out: claims without a test behind them; a region's loss has none, and the page says so. Change: docs/operators/outages.md, morning.md and an index; tests compare the named tests, commands, metrics, index and package table with the code. The kind shutting_down is gone, since no code gave it. The pages no longer say that every not_run of a keyed request speaks of the key's earlier calls.

--- a/packages/router/src/caller/caller_error_kind.ts
+++ b/packages/router/src/caller/caller_error_kind.ts
@@ -31,7 +31,6 @@
   StreamGone = "stream_gone",
   CallNotRun = "call_not_run",
   CallUnknown = "call_unknown",
-  ShuttingDown = "shutting_down",
   NotReady = "not_ready",
   Internal = "internal",
 }
--- a/packages/router/src/caller/caller_error_texts.ts
+++ b/packages/router/src/caller/caller_error_texts.ts
@@ -147,12 +147,6 @@
     remedy: "send it again with the same key to learn more; use a new key " +
       "only once you know that it did not take effect",
   },
-  [CallerErrorKind.ShuttingDown]: {
-    status: 503,
-    outcomes: NOT_RUN,
-    meaning: "The VM takes no more requests.",
-    remedy: "send the request again; another VM will take it",
-  },
   [CallerErrorKind.NotReady]: {
     status: 503,
     outcomes: NOT_RUN,
--- a/packages/tools/src/check_layers.ts
+++ b/packages/tools/src/check_layers.ts
@@ -3,26 +3,9 @@
 import { readFileSync } from "node:fs";
 import { sep } from "node:path";
 import process from "node:process";
+import { LAYERS, TEST_SUPPORT } from "./layers.ts";
 import { listSourceFiles } from "./source_files.ts";
 
-/** The packages from the lowest layer to the highest. */
-const LAYERS: readonly (readonly string[])[] = [
-  ["base"],
-  ["protocol", "settings"],
-  ["platform"],
-  ["configuration"],
-  ["membership", "fairness", "limits", "once"],
-  ["scheduling"],
-  ["router"],
-  ["cli"],
-  ["emulator"],
-  ["bench"],
-  ["tools"],
-];
-
-/** Test support that no package of the product may import. */
-const TEST_SUPPORT = new Set(["emulator", "bench", "tools"]);
-
 const IMPORT_PATTERN = /from "(@rattanvane\/([a-z]+)[^"]*|rattanvane)"/;
 
 interface Violation {
