Read pages and sources for their tests in one place

Cause: three page tests read table rows and sources each in its own way. Change: router/src/testing/page_checks.ts.

--- a/packages/router/src/caller/errors_page_test.ts
+++ b/packages/router/src/caller/errors_page_test.ts
@@ -1,4 +1,4 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { ConfigurationErrorKind } from "@rattanvane/configuration";
 import { KeyError, KeyErrorKind } from "@rattanvane/once";
 import {
@@ -18,6 +18,7 @@
 import { describe, it } from "mocha";
 import { convertRefusal } from "../ingress/refusal.ts";
 import { createEntry, createIngress, POOL } from "../testing/fixtures.ts";
+import { listPageRows, readSources } from "../testing/page_checks.ts";
 import { listCallerErrors } from "./caller_error.ts";
 
 const PAGE = readFileSync("docs/operators/errors.md", "utf8");
@@ -26,17 +27,13 @@
 function readRows(heading: string): string[][] {
   const section = PAGE.split(/^## /m)
     .find((text) => text.startsWith(`${heading}\n`)) ?? "";
-  return section.split("\n").filter((line) => line.startsWith("| `"))
-    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+  return listPageRows(section);
 }
 
-/** Matches of the first group in the sources, without tests. */
-function findInSources(folder: string, pattern: RegExp): string[] {
-  const found = readdirSync(folder, { recursive: true, encoding: "utf8" })
-    .filter((file) => file.endsWith(".ts") && !/_test\.ts$|testing/.test(file))
-    .flatMap((file) => [
-      ...readFileSync(`${folder}/${file}`, "utf8").matchAll(pattern),
-    ]);
+/** What the first group matches in a package, once each. */
+function findInSources(packageName: string, pattern: RegExp): string[] {
+  const found = readSources(packageName)
+    .flatMap((source) => [...source.matchAll(pattern)]);
   return [...new Set(found.map((match) => match[1] ?? ""))].sort();
 }
 
@@ -89,29 +86,29 @@
   const files = [
     {
       heading: "Configuration",
-      folder: "packages/configuration/src",
+      packageName: "configuration",
       kinds: Object.values(ConfigurationErrorKind),
     },
     {
       heading: "Settings and forms",
-      folder: "packages/settings/src",
+      packageName: "settings",
       kinds: Object.values(YamlFileErrorKind),
     },
     {
       heading: "Command line",
-      folder: "packages/cli/src",
+      packageName: "cli",
       kinds: findInSources(
-        "packages/cli/src",
+        "cli",
         /new ProductError\(\{\s*kind: "(\w+)"/g,
       ),
     },
   ];
-  for (const { heading, folder, kinds } of files) {
+  for (const { heading, packageName, kinds } of files) {
     it(`lists every kind below "${heading}", and each fixed remedy`, () => {
       expect(listKinds(heading)).to.have.members(kinds);
       const remedies = files.flatMap((file) => readRows(file.heading))
         .map((row) => row[2]).join("; ");
-      const fixed = findInSources(folder, /remedy: "([^"]+)",\n/g);
+      const fixed = findInSources(packageName, /remedy: "([^"]+)",\n/g);
       expect(fixed.filter((remedy) => !remedies.includes(remedy)))
         .to.deep.equal([]);
     });
--- a/packages/router/src/logs_page_test.ts
+++ b/packages/router/src/logs_page_test.ts
@@ -1,6 +1,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { listPageRows, readSources } from "./testing/page_checks.ts";
 
 const PAGE = readFileSync("docs/operators/logs.md", "utf8");
 
@@ -19,18 +20,6 @@
 
 const FIELD_PATTERN = /(?:^|,)\s*(\w+)(?=\s*[:,]|\s*$)/g;
 
-function readSources(): string[] {
-  return readdirSync("packages")
-    .filter((name) => !OTHER_PACKAGES.has(name))
-    .flatMap((name) => {
-      const folder = `packages/${name}/src`;
-      return readdirSync(folder, { recursive: true, encoding: "utf8" })
-        .filter((file) => /(?<!_test)\.ts$/.test(file))
-        .filter((file) => !file.includes("testing"))
-        .map((file) => readFileSync(`${folder}/${file}`, "utf8"));
-    });
-}
-
 function listFields(text: string): string[] {
   return [...text.matchAll(FIELD_PATTERN)].map((match) => match[1] ?? "");
 }
@@ -59,16 +48,13 @@
 
 /** Sentence, level and fields of each row. */
 function listRows(): string[][] {
-  return PAGE.split("\n").filter((line) => line.startsWith("| `"))
-    .map((line) =>
-      line.split("|").slice(1, -1).map((cell) =>
-        cell.replaceAll("`", "").trim()
-      )
-    );
+  return listPageRows(PAGE)
+    .map((row) => row.map((cell) => cell.replaceAll("`", "")));
 }
 
 describe("the logs page", () => {
-  const sources = readSources();
+  const sources = readdirSync("packages")
+    .filter((name) => !OTHER_PACKAGES.has(name)).flatMap(readSources);
 
   it("has a section for each prefix and no other", () => {
     const parts = sources.flatMap((source) =>
--- a/packages/router/src/metrics/metrics_page_test.ts
+++ b/packages/router/src/metrics/metrics_page_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { createMetrics } from "../testing/fixtures.ts";
+import { listPageRows } from "../testing/page_checks.ts";
 
 const PAGE = "docs/operators/metrics.md";
 const CELLS = 6;
@@ -14,12 +15,6 @@
   labelNames: string[];
 }
 
-function readRows(): string[][] {
-  return readFileSync(PAGE, "utf8").split("\n")
-    .filter((line) => line.startsWith("| `"))
-    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
-}
-
 function describeMetric(metric: DescribedMetric): string[] {
   const parts = metric.name.split("_");
   const unit = metric.name.endsWith("_total") ? parts.at(-2) : parts.at(-1);
@@ -41,7 +36,7 @@
     );
     const expected = metrics.map(describeMetric)
       .sort((one, other) => String(one[0]) < String(other[0]) ? -1 : 1);
-    const rows = readRows();
+    const rows = listPageRows(readFileSync(PAGE, "utf8"));
     expect(rows.map((row) => row.slice(0, CELLS - 1))).to.deep.equal(expected);
     expect(rows.filter((row) => row.length !== CELLS || row.at(-1) === ""))
       .to.deep.equal([]);
