--- a/packages/bench/src/slopes/scheduler.ts
+++ b/packages/bench/src/slopes/scheduler.ts
@@ -119,6 +119,7 @@
         ...DEFAULT_POOL_SCHEDULER_SETTINGS,
         queueLimit: Infinity,
       },
+      findContact: () => undefined,
       suspects: new SuspectRegistry(this.#clock, DEFAULT_SUSPECT_SETTINGS),
     });
   }
@@ -167,7 +168,7 @@
     this.#scheduler.handle(VM, {
       kind: MessageKind.Progress,
       pool: POOL,
-      attempts: [{ attempt, cost: cost / 2 }],
+      attempts: [{ attempt, cost: cost / 2, bootId: "b" }],
     });
     this.#scheduler.handle(VM, {
       kind: MessageKind.Finish,
--- a/packages/limits/src/endpoint_limit_test.ts
+++ b/packages/limits/src/endpoint_limit_test.ts
@@ -24,6 +24,18 @@
     expect(limit.freeSlots).to.equal(3);
   });
 
+  it("takes one low report for slots between two foreign requests", async () => {
+    const { clock, limit } = createFixture({ coldLimit: 8 });
+    const foreign: number[] = [];
+    for (const running of [3, 0, 3, 0, 0, 0]) {
+      await clock.advance(500);
+      const uptimeMilliseconds = clock.now();
+      limit.receiveReport(createReport({ running, uptimeMilliseconds }));
+      foreign.push(limit.foreign);
+    }
+    expect(foreign).to.deep.equal([3, 3, 3, 3, 3, 0]);
+  });
+
   it("does not take its own ended work for foreign load", async () => {
     const { clock, limit } = createFixture({ coldLimit: 8 });
     const started = startAll(limit);
@@ -59,7 +71,7 @@
   it("takes a handed-over limit only for the same boot", () => {
     for (const bootId of ["b1", "b0"]) {
       const { limit } = createFixture();
-      limit.restore({ endpoint: "e", bootId, limit: 16 });
+      limit.restore({ endpoint: "e", bootId, limit: 16, foreign: 0 });
       expect(limit.limit).to.equal(2);
       limit.receiveReport(createReport());
       expect(limit.limit).to.equal(bootId === "b1" ? 16 : 2);
@@ -119,7 +131,7 @@
     const { clock, limit } = createFixture();
     for (let poll = 0; poll < 20; poll++) {
       await clock.advance(1000);
-      limit.recordProgress();
+      limit.recordProgress("b1");
       limit.markUnreachable();
     }
     expect(limit.state).to.equal(EndpointState.Up);
@@ -128,7 +140,7 @@
   it("does not call an endpoint dead that delivered just now", async () => {
     const { clock, limit } = createFixture();
     await clock.advance(60_000);
-    limit.recordProgress();
+    limit.recordProgress("b1");
     for (let poll = 0; poll < 10; poll++) {
       await clock.advance(100);
       limit.markUnreachable();
@@ -138,7 +150,7 @@
 
   it("calls an endpoint dead that is silent", async () => {
     const { clock, limit } = createFixture();
-    limit.recordProgress();
+    limit.recordProgress("b1");
     for (let poll = 0; poll < 5; poll++) {
       await clock.advance(1000);
       limit.markUnreachable();
--- a/packages/protocol/src/scheduling_messages.ts
+++ b/packages/protocol/src/scheduling_messages.ts
@@ -8,6 +8,7 @@
   RequestId,
   ServiceId,
   Term,
+  VmContact,
   VmId,
 } from "./identifiers.ts";
 import type { MessageKind } from "./message_kind.ts";
@@ -101,6 +102,8 @@
   attempt: AttemptId;
   /** All cost units of the attempt so far. */
   cost: number;
+  /** The endpoint's boot id as its answer told it; empty when unknown. */
+  bootId: string;
 }
 
 /** Reports the costs of an ingress's running attempts in a pool. */
@@ -193,6 +196,8 @@
   endpoint: EndpointId;
   bootId: string;
   limit: number;
+  /** Requests that the scheduler does not know, as reports show them. */
+  foreign: number;
 }
 
 /** A running attempt as one scheduler passes it to the next. */
@@ -208,6 +213,7 @@
   /** The lowest backlogged counter. */
   virtualTime: number;
   counters: VirtualCounter[];
+  /** None while the sender does not know yet what is running. */
   limits: EndpointLimitState[];
   /** Every attempt that is running or on its way, of all zones' ingresses. */
   running: HandedAttempt[];
@@ -252,6 +258,8 @@
   from: PoolId;
   to: PoolId;
   entries: QueueEntry[];
+  /** How the entries' ingresses are reached from another zone. */
+  contacts: VmContact[];
   /** The counters of the entries' organisations at the sender. */
   counters: VirtualCounter[];
 }
--- a/packages/router/src/caller/caller_error_texts.ts
+++ b/packages/router/src/caller/caller_error_texts.ts
@@ -80,6 +80,24 @@
     meaning: "A header holds what it cannot hold.",
     remedy: "correct the header or leave it out",
   },
+  [CallerErrorKind.MalformedRequest]: {
+    status: 400,
+    outcomes: NOT_RUN,
+    meaning: "The bytes are no HTTP request.",
+    remedy: "send a request in HTTP/1.1",
+  },
+  [CallerErrorKind.HeadersTooLong]: {
+    status: 431,
+    outcomes: NOT_RUN,
+    meaning: "The headers are longer than this VM takes.",
+    remedy: "send fewer or shorter headers",
+  },
+  [CallerErrorKind.HeadersTooSlow]: {
+    status: 408,
+    outcomes: NOT_RUN,
+    meaning: "The headers did not arrive in time.",
+    remedy: "send the headers faster",
+  },
   [CallerErrorKind.IdempotencyKeyMissing]: {
     status: 400,
     outcomes: NOT_RUN,
--- a/packages/router/src/ingress/ledger_entry.ts
+++ b/packages/router/src/ingress/ledger_entry.ts
@@ -32,6 +32,8 @@
   reportedCost: number;
   /** When the scheduler was last told; on the monotonic clock. */
   reportedAt: number;
+  /** The endpoint's boot id as its answer told it; empty when unknown. */
+  bootId: string;
 }
 
 /** What ends a wait for a grant. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -116,7 +116,7 @@
     terms.changes.listen((term) => {
       network.learnContact(term.contact);
       if (term.term.holder !== this.#settings.vm) {
-        host.stop(term.pool);
+        void host.retire(term.pool, signal);
       }
       dispatcher.followTerm(term.pool);
       host.updatePeers();
@@ -150,26 +150,50 @@
     this.#logger.info("serves callers", { version: store.current.version });
   }
 
+  /**
+   * Fails /readyz and hands the roles over, but takes requests until the
+   * balancer has had time to notice; then finishes what it has.
+   */
   async #leave(): Promise<void> {
-    const { state, membership, server, keyedCalls, ownership } = this.#parts;
+    const { state, membership, server, ownership, ledger } = this.#parts;
     const { shutdown } = this.#settings;
-    const endsAt = this.#clock.now() + shutdown.longestMilliseconds;
+    const startedAt = this.#clock.now();
+    const endsAt = startedAt + shutdown.longestMilliseconds;
+    const noticeEndsAt = startedAt + shutdown.noticeMilliseconds;
     this.#logger.info("leaves the fleet", { active: server.active });
     state.phase = RouterPhase.Leaving;
+    server.closeAfterAnswers();
     membership.announceLeave();
-    await ownership.handOverAll(this.#lifetime.signal);
+    const handedOver = ownership.handOverAll(this.#lifetime.signal);
+    await this.#waitUntil(() => false, Math.min(noticeEndsAt, endsAt));
     server.stopAccepting();
-    while (server.active > 0 && this.#clock.now() < endsAt) {
-      await this.#clock.sleep(DRAIN_STEP_MILLISECONDS, this.#lifetime.signal);
-    }
-    await keyedCalls.settle();
-    if (server.active > 0) {
+    // A keyed call runs on when its caller is gone.
+    const isIdle = () => server.active === 0 && ledger.size === 0;
+    await this.#waitUntil(isIdle, endsAt);
+    await this.#settle(handedOver, endsAt);
+    if (!isIdle()) {
       this.#logger.warn("the longest time for a shutdown is over", {
-        cut: server.active,
+        cut: Math.max(server.active, ledger.size),
       });
     }
   }
 
+  /** Waits for the platform to know the ends of calls, but not for ever. */
+  async #settle(handedOver: Promise<void>, endsAt: number): Promise<void> {
+    let settled = false;
+    const settling = [handedOver, this.#parts.keyedCalls.settle()];
+    void Promise.allSettled(settling).then(() => {
+      settled = true;
+    });
+    await this.#waitUntil(() => settled, endsAt);
+  }
+
+  async #waitUntil(condition: () => boolean, endsAt: number): Promise<void> {
+    while (!condition() && this.#clock.now() < endsAt) {
+      await this.#clock.sleep(DRAIN_STEP_MILLISECONDS, this.#lifetime.signal);
+    }
+  }
+
   #runTask(name: string, task: Promise<void>): void {
     task.catch((thrown) => {
       this.#logger.error("a task failed", {
--- a/packages/scheduling/src/pool/entry_intake.ts
+++ b/packages/scheduling/src/pool/entry_intake.ts
@@ -7,8 +7,8 @@
   RefusalReason,
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
+import type { RunningGrant } from "./attempt_table.ts";
 import type { EntryMover } from "./entry_mover.ts";
-import type { Granter } from "./granter.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Refuser } from "./refuser.ts";
 import type { Siblings } from "./siblings.ts";
@@ -19,7 +19,6 @@
   guard: SuspectGuard;
   refuser: Refuser;
   ends: AttemptEnds;
-  granter: Granter;
   mover: EntryMover;
   siblings: Siblings;
 }
@@ -37,14 +36,11 @@
   /** Queues a request, refuses it, or repeats the grant that it has. */
   applyEnqueue({ entry }: EnqueueMessage): void {
     const running = this.#state.attempts.findByRequest(entry.request);
-    if (running !== undefined && entry.attemptsMade <= running.attemptsMade) {
-      if (running.message !== undefined) {
-        this.#parts.granter.resend(running.message, running.ingress);
+    if (running !== undefined && !this.#isOver(running, entry)) {
+      if (this.#parts.ends.repeatGrant(running)) {
+        return;
       }
-      return;
-    }
-    if (running !== undefined) {
-      // A retry: the end of the attempt before it was lost on the way.
+    } else if (running !== undefined) {
       this.#parts.ends.release(running);
     }
     if (this.#state.queue.has(entry.request)) {
@@ -59,6 +55,17 @@
     this.#state.queue.add(entry, { now: this.#state.now });
   }
 
+  /**
+   * Whether the request has left again since, so that the end of this attempt
+   * was lost. A young grant may come from an entry that was out of date.
+   */
+  #isOver(running: RunningGrant, entry: QueueEntry): boolean {
+    const { grantSettleMilliseconds } = this.#state.options.settings;
+    const age = this.#state.now - running.grantedAt;
+    return entry.attemptsMade > running.attemptsMade &&
+      age >= grantSettleMilliseconds;
+  }
+
   #findRefusal(entry: QueueEntry): RefusalReason | undefined {
     const { queue, configuration, endpoints, options } = this.#state;
     if (this.#parts.guard.judge(entry.fingerprint) === Suspicion.Quarantined) {
--- a/packages/scheduling/src/pool/entry_mover.ts
+++ b/packages/scheduling/src/pool/entry_mover.ts
@@ -8,10 +8,17 @@
   type QueueEntry,
   type RequestId,
   type VirtualCounter,
+  type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
+import type { AttemptEnds } from "./attempt_ends.ts";
+import type { RunningGrant } from "./attempt_table.ts";
 import { pickEntriesToMove } from "./move_selection.ts";
-import { convertToQueueEntry, type WaitingEntry } from "./pool_queue.ts";
+import {
+  convertToQueueEntry,
+  createWaitingEntry,
+  type WaitingEntry,
+} from "./pool_queue.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Sibling, Siblings } from "./siblings.ts";
 import type { SuspectGuard } from "./suspect_guard.ts";
@@ -26,15 +33,17 @@
   readonly #state: PoolState;
   readonly #siblings: Siblings;
   readonly #guard: SuspectGuard;
+  readonly #ends: AttemptEnds;
   readonly #moving = new Map<RequestId, MovingEntry>();
 
   constructor(
     state: PoolState,
-    parts: { siblings: Siblings; guard: SuspectGuard },
+    parts: { siblings: Siblings; guard: SuspectGuard; ends: AttemptEnds },
   ) {
     this.#state = state;
     this.#siblings = parts.siblings;
     this.#guard = parts.guard;
+    this.#ends = parts.ends;
   }
 
   /** Entries that were sent away and are not confirmed yet. */
@@ -120,6 +129,9 @@
   /** Takes entries over from a sibling. */
   applyMove(from: VmId, message: MoveEntriesMessage): void {
     const { sender, pool } = this.#state.options;
+    for (const contact of message.contacts) {
+      sender.learnContact(contact);
+    }
     const canServe = this.#state.endpoints.sumSlots() > 0;
     const taken: RequestId[] = [];
     const returned: RequestId[] = [];
@@ -231,6 +243,7 @@
       from: options.pool,
       to: sibling.pool,
       entries: picked.map((waiting) => convertToQueueEntry(waiting, now)),
+      contacts: this.#collectContacts(picked),
       counters: [...counters.values()],
     });
     options.logger.info("moved waiting requests to another zone", {
@@ -241,9 +254,16 @@
     });
   }
 
+  /** The receiver grants to ingresses of which it may never have heard. */
+  #collectContacts(picked: readonly WaitingEntry[]): VmContact[] {
+    const vms = new Set(picked.map(({ entry }) => entry.ingress));
+    return [...vms].flatMap((vm) => this.#state.options.findContact(vm) ?? []);
+  }
+
   #takeEntry(entry: QueueEntry, message: MoveEntriesMessage): void {
     const { queue, attempts, now } = this.#state;
-    if (attempts.findByRequest(entry.request) !== undefined) {
+    const grant = attempts.findByRequest(entry.request);
+    if (grant !== undefined && this.#isHeld(grant, { entry, message })) {
       return;
     }
     const counter = message.counters.find(({ organisation }) =>
@@ -256,6 +276,24 @@
     });
   }
 
+  /**
+   * An entry that comes again, as when a confirmation was lost, most probably
+   * runs. An ingress ignores the repeated grant of what it runs; an attempt that
+   * was taken over gets a second turn if it is missed.
+   */
+  #isHeld(
+    grant: RunningGrant,
+    again: { entry: QueueEntry; message: MoveEntriesMessage },
+  ): boolean {
+    if (grant.message !== undefined) {
+      return this.#ends.repeatGrant(grant);
+    }
+    const { now } = this.#state;
+    const movedFrom = again.message.from;
+    grant.waiting ??= createWaitingEntry(again.entry, { now, movedFrom });
+    return true;
+  }
+
   #takeBack(request: RequestId): void {
     const moving = this.#moving.get(request);
     if (moving === undefined) {
