--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -22,6 +22,7 @@
   type ZoneId,
 } from "@rattanvane/protocol";
 import {
+  type PoolObserver,
   type PoolPeers,
   PoolScheduler,
   type PoolSchedulerSettings,
@@ -39,6 +40,7 @@
   logger: Logger;
   settings: PoolSchedulerSettings;
   suspects: SuspectRegistry;
+  observer: PoolObserver;
   poller: LoadPoller;
   findConfiguration: () => FleetConfiguration | undefined;
   /** Finds how a VM is reached. */
@@ -97,6 +99,7 @@
       settings: this.#options.settings,
       findContact: this.#options.findContact,
       suspects: this.#options.suspects,
+      observer: this.#options.observer,
     });
     const lifetime = new ChildAbort(signal);
     this.#hosted.set(formatPool(pool), { pool, scheduler, lifetime });
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -16,6 +16,7 @@
 } from "@rattanvane/protocol";
 import { AttemptTable } from "./attempt_table.ts";
 import { PoolEndpoints } from "./pool_endpoints.ts";
+import type { PoolObserver } from "./pool_observer.ts";
 import { PoolQueue } from "./pool_queue.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import type { PoolSchedulerSettings } from "./settings.ts";
@@ -36,6 +37,7 @@
   findContact: (vm: VmId) => VmContact | undefined;
   /** The VM's own; it spreads by gossip. */
   suspects: SuspectRegistry;
+  observer?: PoolObserver;
 }
 
 /** The queue, the endpoints and the attempts of one pool. */
--- a/packages/scheduling/src/pool/testing/pool_world.ts
+++ b/packages/scheduling/src/pool/testing/pool_world.ts
@@ -16,6 +16,7 @@
   type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
+import type { PoolObserver } from "../pool_observer.ts";
 import { PoolScheduler } from "../pool_scheduler.ts";
 import {
   DEFAULT_POOL_SCHEDULER_SETTINGS,
@@ -52,6 +53,7 @@
   settings?: Partial<PoolSchedulerSettings>;
   leased?: boolean;
   logger?: Logger;
+  observer?: PoolObserver;
 }
 
 /** A scheduler that runs in a world. */
@@ -122,7 +124,7 @@
     hidden: ReadonlySet<VmId> = new Set(),
   ): RunningScheduler {
     const zone = vm.split("-")[0] as string;
-    const { seed, settings, leased = true } = this.#options;
+    const { seed, settings, leased = true, observer } = this.#options;
     const suspects = new SuspectRegistry(this.clock, DEFAULT_SUSPECT_SETTINGS);
     const scheduler = new PoolScheduler({
       pool: { zone, service: SERVICE },
@@ -136,6 +138,7 @@
       settings: { ...DEFAULT_POOL_SCHEDULER_SETTINGS, ...settings },
       findContact: createContact,
       suspects,
+      ...(observer === undefined ? {} : { observer }),
     });
     const abort = new AbortController();
     const running = { zone, vm, scheduler, suspects, abort, hidden };
