--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -74,27 +74,27 @@
   }
 
   async #start(): Promise<void> {
-    const { network, server } = this.#parts;
+    const { fleet, ingress } = this.#parts;
     const { signal } = this.#lifetime;
     this.#connectParts();
-    await network.start(signal);
-    await server.start(signal);
-    this.#runTask("membership", this.#parts.membership.run(signal));
-    this.#runTask("configuration peer", this.#parts.peer.run(signal));
-    this.#runTask("configuration watcher", this.#parts.watcher.run(signal));
-    this.#runTask("dispatcher", this.#parts.dispatcher.run(signal));
-    this.#runTask("key cleaner", this.#parts.keyCleaner.run(signal));
+    await fleet.network.start(signal);
+    await ingress.server.start(signal);
+    this.#runTask("membership", fleet.membership.run(signal));
+    this.#runTask("configuration peer", fleet.peer.run(signal));
+    this.#runTask("configuration watcher", fleet.watcher.run(signal));
+    this.#runTask("dispatcher", ingress.dispatcher.run(signal));
+    this.#runTask("key cleaner", ingress.keyCleaner.run(signal));
     this.#runTask(
       "VM list reader",
       runVmListReader({
-        vms: this.#parts.platform.vms,
-        membership: this.#parts.membership,
+        vms: fleet.platform.vms,
+        membership: fleet.membership,
         clock: this.#clock,
-        random: this.#parts.random,
+        random: fleet.random,
         logger: this.#logger.forPart("membership"),
       }, signal),
     );
-    this.#runTask("pool ownership", this.#parts.ownership.run(signal));
+    this.#runTask("pool ownership", fleet.ownership.run(signal));
     this.#logger.info("listens", {
       vm: this.#settings.vm,
       zone: this.#settings.zone,
@@ -104,8 +104,9 @@
   }
 
   #connectParts(): void {
-    const { links, network, dispatcher, store, host, terms, membership } =
-      this.#parts;
+    const { links, network, store, host, terms, membership } =
+      this.#parts.fleet;
+    const { dispatcher } = this.#parts.ingress;
     const { signal } = this.#lifetime;
     const reconnected = (vm: string) => dispatcher.followLink(vm);
     links.follow(network, { reconnected }, signal);
@@ -136,7 +137,8 @@
   }
 
   async #join(signal: AbortSignal): Promise<void> {
-    const { log, store, state } = this.#parts;
+    const { fleet, state } = this.#parts;
+    const { log, store } = fleet;
     await waitUntilJoined({
       log,
       store,
@@ -155,7 +157,8 @@
    * balancer has had time to notice; then finishes what it has.
    */
   async #leave(): Promise<void> {
-    const { state, membership, server, ownership, ledger } = this.#parts;
+    const { fleet, ingress, state } = this.#parts;
+    const { server, ledger } = ingress;
     const { shutdown } = this.#settings;
     const startedAt = this.#clock.now();
     const endsAt = startedAt + shutdown.longestMilliseconds;
@@ -163,8 +166,8 @@
     this.#logger.info("leaves the fleet", { active: server.active });
     state.phase = RouterPhase.Leaving;
     server.closeAfterAnswers();
-    membership.announceLeave();
-    const handedOver = ownership.handOverAll(this.#lifetime.signal);
+    fleet.membership.announceLeave();
+    const handedOver = fleet.ownership.handOverAll(this.#lifetime.signal);
     await this.#waitUntil(() => false, Math.min(noticeEndsAt, endsAt));
     server.stopAccepting();
     // A keyed call runs on when its caller is gone.
@@ -181,7 +184,7 @@
   /** Waits for the platform to know the ends of calls, but not for ever. */
   async #settle(handedOver: Promise<void>, endsAt: number): Promise<void> {
     let settled = false;
-    const settling = [handedOver, this.#parts.keyedCalls.settle()];
+    const settling = [handedOver, this.#parts.ingress.keyedCalls.settle()];
     void Promise.allSettled(settling).then(() => {
       settled = true;
     });
