Tell not_run for a stream id that no VM made

Cause: after the change to unknown for streams that are gone, the proof that an id nobody made is told not_run failed. Ruled out: easing that proof; nothing can have run under an id that no key of the fleet signed. A stream that was made and cannot be resumed stays unknown.

--- a/packages/router/src/caller/caller_error_texts.ts
+++ b/packages/router/src/caller/caller_error_texts.ts
@@ -148,7 +148,7 @@
   },
   [CallerErrorKind.StreamGone]: {
     status: 410,
-    outcomes: UNKNOWN,
+    outcomes: EITHER,
     meaning: "A stream cannot be taken up again.",
     remedy: "send the request again from the start",
   },
--- a/packages/router/src/ingress/completion_run.ts
+++ b/packages/router/src/ingress/completion_run.ts
@@ -93,6 +93,7 @@
         new CallerError(
           CallerErrorKind.StreamGone,
           "The engine no longer holds the stream",
+          { outcome: computeOutcome(entry) },
         ),
       );
       return;
--- a/packages/router/src/ingress/resume_handler.ts
+++ b/packages/router/src/ingress/resume_handler.ts
@@ -1,7 +1,11 @@
 /** Lets a caller take a stream up again, at this or another VM. */
 
 import { HeaderName } from "@rattanvane/platform";
-import { CallerError, CallerErrorKind } from "../caller/caller_error.ts";
+import {
+  CallerError,
+  CallerErrorKind,
+  CallOutcome,
+} from "../caller/caller_error.ts";
 import { type CallerExchange, CallerHandler } from "../caller/caller_server.ts";
 import { buildCall } from "./call_reader.ts";
 import {
@@ -50,7 +54,7 @@
       : configuration.services.get(endpoint.service);
     const own = ticket.organisation === organisation.name;
     if (endpoint === undefined || service === undefined || !own) {
-      throw createGoneError();
+      throw createGoneError(CallOutcome.Unknown);
     }
     const call = buildCall(exchange.request, {
       request: exchange.requestId,
@@ -101,7 +105,7 @@
     const fromPath = exchange.path.slice(PATH_PREFIX.length);
     const ticket = parseTicket(place.ticket ?? fromPath, fleetKeys);
     if (ticket === undefined) {
-      throw createGoneError();
+      throw createGoneError(CallOutcome.NotRun);
     }
     return { ticket, offset: place.offset };
   }
@@ -122,9 +126,10 @@
   };
 }
 
-function createGoneError(): CallerError {
+function createGoneError(outcome: CallOutcome): CallerError {
   return new CallerError(
     CallerErrorKind.StreamGone,
     "There is no such stream of this organisation",
+    { outcome },
   );
 }
