Ask a refuting VM for its work in place of dropping it

Cause: when a cut between zones heals, each VM hears that other zones hold it dead, and refutes with a higher incarnation. Its own zone took that for a restart (Renewed): the pool's scheduler dropped all that waited from the VM and made orphans of what ran. Seen 0.7 s after the heal in all three zones, in log lines for each tick: waiting 19 -> 6, own attempts 8 -> 0, counted still 8 as orphans; the slots stayed counted until reports showed them free.

Ruled out: the limit (8 throughout), foreign requests (0), the rebuild (the scheduler goes on under its term), deaths within the zone (none logged), moved entries (none at that time).

What a former life had running becomes an orphan and goes on counting, as before; no slot is freed sooner than before.

--- a/packages/router/src/host/scheduler_host.ts
+++ b/packages/router/src/host/scheduler_host.ts
@@ -181,13 +181,10 @@
     }
   }
 
-  /** Drops what a VM had before it restarted, then takes it in again. */
-  replaceIngress(vm: VmId): void {
-    for (const { pool, scheduler } of this.#hosted.values()) {
-      const peers = this.#options.findPeers(pool);
-      const ingresses = peers.ingresses.filter((ingress) => ingress !== vm);
-      scheduler.updatePeers({ ...peers, ingresses });
-      scheduler.updatePeers(peers);
+  /** Has all schedulers find out what a VM that may have restarted still has. */
+  checkIngress(vm: VmId): void {
+    for (const { scheduler } of this.#hosted.values()) {
+      scheduler.checkIngress(vm);
     }
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -126,7 +126,7 @@
         network.learnContact(change.contact);
       }
       if (change.kind === MembershipChangeKind.Renewed) {
-        host.replaceIngress(change.contact.vm);
+        host.checkIngress(change.contact.vm);
       }
       host.updatePeers();
     }, signal);
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -129,6 +129,11 @@
     this.#grantAndOffer();
   }
 
+  /** Finds out what an ingress still has that may have restarted. */
+  checkIngress(vm: VmId): void {
+    this.#reports.checkIngress(vm);
+  }
+
   /** Takes in an endpoint's lagging load report. */
   receiveLoad(endpoint: EndpointId, report: LoadReport): void {
     const known = this.#state.endpoints.find(endpoint);
--- a/packages/scheduling/src/pool/work_reports.ts
+++ b/packages/scheduling/src/pool/work_reports.ts
@@ -8,6 +8,7 @@
   type WorkReportMessage,
 } from "@rattanvane/protocol";
 import type { AttemptEnds } from "./attempt_ends.ts";
+import type { RunningGrant } from "./attempt_table.ts";
 import type { PoolState } from "./pool_state.ts";
 
 /** Asks the ingresses for their work after a start, and merges it. */
@@ -15,6 +16,8 @@
   readonly #state: PoolState;
   readonly #ends: AttemptEnds;
   readonly #missing = new Set<VmId>();
+  /** Ingresses that may have restarted, and when each was last asked. */
+  readonly #doubtful = new Map<VmId, number>();
   readonly #startedAt: number;
   #askedAt = -Infinity;
   #isRebuilding = true;
@@ -33,9 +36,10 @@
   /** Waits for the reports of these ingresses, and no others. */
   updateIngresses(ingresses: readonly VmId[], former: ReadonlySet<VmId>): void {
     const live = new Set(ingresses);
-    for (const vm of this.#missing) {
+    for (const vm of [...this.#missing, ...this.#doubtful.keys()]) {
       if (!live.has(vm)) {
         this.#missing.delete(vm);
+        this.#doubtful.delete(vm);
       }
     }
     if (!this.#isRebuilding) {
@@ -50,8 +54,20 @@
     this.#stopWhenComplete();
   }
 
+  /**
+   * Asks an ingress that may have restarted what it still has. A higher
+   * incarnation does not tell: VMs that were held dead across a cut refute it
+   * with one, and still have all their work.
+   */
+  checkIngress(vm: VmId): void {
+    if (this.#state.ingresses.has(vm)) {
+      this.#askDoubtful(vm);
+    }
+  }
+
   /** Asks again where a report is missing; ends the rebuild in time. */
   runStep(): void {
+    this.#askDoubtfulAgain();
     if (!this.#isRebuilding) {
       return;
     }
@@ -76,10 +92,25 @@
     for (const entry of message.waiting) {
       this.#addWaiting(entry);
     }
+    this.#doubtful.delete(from);
     this.#missing.delete(from);
     this.#stopWhenComplete();
   }
 
+  #askDoubtfulAgain(): void {
+    const { requestWorkMilliseconds } = this.#state.options.settings;
+    for (const [vm, askedAt] of this.#doubtful) {
+      if (this.#state.now - askedAt >= requestWorkMilliseconds) {
+        this.#askDoubtful(vm);
+      }
+    }
+  }
+
+  #askDoubtful(vm: VmId): void {
+    this.#doubtful.set(vm, this.#state.now);
+    this.#sendRequest(vm);
+  }
+
   #stopWhenComplete(): void {
     const hasPeers = this.#state.ingresses.size > 0;
     if (this.#isRebuilding && hasPeers && this.#missing.size === 0) {
@@ -88,12 +119,16 @@
   }
 
   #sendRequests(): void {
-    const { pool, term, sender } = this.#state.options;
     for (const vm of this.#missing) {
-      sender.send(vm, { kind: MessageKind.RequestWork, pool, term });
+      this.#sendRequest(vm);
     }
   }
 
+  #sendRequest(vm: VmId): void {
+    const { pool, term, sender } = this.#state.options;
+    sender.send(vm, { kind: MessageKind.RequestWork, pool, term });
+  }
+
   #stopRebuilding(): void {
     this.#isRebuilding = false;
     this.#state.endpoints.stopRebuilding();
@@ -157,7 +192,7 @@
       const isKnown = running.has(grant.attempt) || waiting.has(grant.request);
       const age = this.#state.now - grant.grantedAt;
       if (!isKnown && age >= grantSettleMilliseconds) {
-        this.#ends.release(grant);
+        this.#drop(from, grant);
       }
     }
     for (const entry of this.#state.queue.listOfIngress(from)) {
@@ -167,4 +202,13 @@
       }
     }
   }
+
+  /** What a former life of an ingress left may still run at the endpoint. */
+  #drop(from: VmId, grant: RunningGrant): void {
+    if (this.#doubtful.has(from)) {
+      this.#ends.orphan(grant);
+      return;
+    }
+    this.#ends.release(grant);
+  }
 }
