Say unknown where a keyed call is refused before its key is looked up

Cause: a refusal such as queue_full or wrong_key came before the key was looked up and said not_run, though an earlier call of the key may have run. Ruled out: looking the key up first (it needs the organisation and the body).

--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -108,18 +108,21 @@
   ): Promise<Result<PlatformAnswer, PlatformError>> {
     const { clock } = this.#options;
     const endsAt = clock.now() + this.#options.deadlineMilliseconds;
+    let lastError: PlatformError | undefined;
     for (let attempt = 0;; attempt++) {
       const withinBudget = await this.#waitForBudget(call, {
         longestWaitMilliseconds: endsAt - clock.now(),
         signal: timer.signal,
       });
       if (!withinBudget) {
-        return err(createBudgetError(call, timer));
+        // What the last try met tells more than that there was no time left.
+        return err(lastError ?? createBudgetError(call, timer));
       }
       const tried = await this.#runOnce(call, timer);
       if (tried.isOk()) {
         return ok(tried.value);
       }
+      lastError = tried.error.error;
       const delay = this.#computeDelay(tried.error, attempt);
       if (!tried.error.retry || clock.now() + delay >= endsAt) {
         return err(tried.error.error);
--- a/packages/router/src/caller/caller_error.ts
+++ b/packages/router/src/caller/caller_error.ts
@@ -38,6 +38,19 @@
     this.outcome = options.outcome ?? text.outcomes[0];
     this.retryAfterMilliseconds = options.retryAfterMilliseconds;
   }
+
+  /** The same error for a call of which less, or more, is known. */
+  withOutcome(outcome: CallOutcome): CallerError {
+    const { kind, problem, remedy, cause, retryAfterMilliseconds } = this;
+    return new CallerError(kind, problem, {
+      outcome,
+      remedy,
+      cause,
+      ...(retryAfterMilliseconds === undefined
+        ? {}
+        : { retryAfterMilliseconds }),
+    });
+  }
 }
 
 /** One kind of error for the operators' page. */
--- a/packages/router/src/caller/caller_error_texts.ts
+++ b/packages/router/src/caller/caller_error_texts.ts
@@ -22,13 +22,13 @@
 > = {
   [CallerErrorKind.MissingKey]: {
     status: 401,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The request carries no key.",
     remedy: 'send the header "Authorization: Bearer KEY"',
   },
   [CallerErrorKind.WrongKey]: {
     status: 401,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The key belongs to nobody, or not to an operator.",
     remedy: "check the key, or ask an operator for a new one",
   },
@@ -46,25 +46,25 @@
   },
   [CallerErrorKind.UnknownService]: {
     status: 404,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "No service has the name, or one of another kind.",
     remedy: "check the name of the model or service",
   },
   [CallerErrorKind.ServiceNotAllowed]: {
     status: 403,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The organisation may not reach the service.",
     remedy: "ask an operator to allow the organisation this service",
   },
   [CallerErrorKind.BodyTooLong]: {
     status: 413,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The body is longer than this VM takes.",
     remedy: "send a shorter body",
   },
   [CallerErrorKind.BodyTooSlow]: {
     status: 408,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The body did not arrive in time.",
     remedy: "send the body faster",
   },
@@ -76,7 +76,7 @@
   },
   [CallerErrorKind.MalformedHeader]: {
     status: 400,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "A header holds what it cannot hold.",
     remedy: "correct the header or leave it out",
   },
@@ -167,7 +167,7 @@
   },
   [CallerErrorKind.NotReady]: {
     status: 503,
-    outcomes: NOT_RUN,
+    outcomes: EITHER,
     meaning: "The VM has no configuration yet, or is not in service.",
     remedy: "wait until /readyz answers 200",
   },
--- a/packages/router/src/ingress/plain_handler.ts
+++ b/packages/router/src/ingress/plain_handler.ts
@@ -2,7 +2,11 @@
 
 import { ServiceKind } from "@rattanvane/configuration";
 import { HeaderName } from "@rattanvane/platform";
-import { CallerError, CallerErrorKind } from "../caller/caller_error.ts";
+import {
+  CallerError,
+  CallerErrorKind,
+  CallOutcome,
+} from "../caller/caller_error.ts";
 import { type CallerExchange, CallerHandler } from "../caller/caller_server.ts";
 import {
   buildCall,
@@ -35,6 +39,37 @@
     exchange: CallerExchange,
     signal: AbortSignal,
   ): Promise<void> {
+    const key = readKey(exchange);
+    const call = await this.#readCall(exchange, { key }, signal);
+    const answer = isRepeatable(call.service, call) && key === undefined
+      ? await this.#runRepeatable(call, signal)
+      : await this.#runKeyed(call, { key }, signal);
+    exchange.answer.sendBytes(answer.status, answer);
+  }
+
+  /**
+   * Reads the call. A refusal that comes before the key was looked up does not
+   * know what became of the key's earlier calls.
+   */
+  async #readCall(
+    exchange: CallerExchange,
+    { key }: { key: string | undefined },
+    signal: AbortSignal,
+  ): Promise<IngressCall> {
+    try {
+      return await this.#admitCall(exchange, signal);
+    } catch (thrown) {
+      if (key === undefined || !(thrown instanceof CallerError)) {
+        throw thrown;
+      }
+      throw thrown.withOutcome(CallOutcome.Unknown);
+    }
+  }
+
+  async #admitCall(
+    exchange: CallerExchange,
+    signal: AbortSignal,
+  ): Promise<IngressCall> {
     const { limits, clock } = this.#context.options;
     const admitted = await this.#context.admit(exchange, signal);
     const target = parseServicePath(exchange.request.url ?? "");
@@ -43,7 +78,7 @@
       kind: ServiceKind.Plain,
       organisation: admitted.organisation,
     });
-    const call = buildCall(exchange.request, {
+    return buildCall(exchange.request, {
       request: exchange.requestId,
       organisation: admitted.organisation,
       service,
@@ -53,11 +88,6 @@
       defaultDeadlineMilliseconds: limits.defaultDeadlineMilliseconds,
       clock,
     });
-    const key = readKey(exchange);
-    const answer = isRepeatable(service, call) && key === undefined
-      ? await this.#runRepeatable(call, signal)
-      : await this.#runKeyed(call, { key }, signal);
-    exchange.answer.sendBytes(answer.status, answer);
   }
 
   async #runRepeatable(
