Let an idle pool's scheduler sleep until it has something to do

Cause: each pool ticked each 100 ms, also while nothing waited, ran or was in rebuild.

Change: PoolTicker sleeps until the next sign of life is due (1,666 ms) while nothing waits, runs, moves, is being rebuilt, is undecided after a lost attempt, is left at an endpoint, or is news for siblings, and no sibling has work waiting. Each message, load report and configuration asks whether that has changed, and wakes it if so; load reports of an idle pool do not wake it.

Ruled out: a longer fixed tick (timeouts of waiting requests would come late); AbortSignal.any for the sleep (a listener on the long-lived signal is removed here after each sleep instead).

--- a/packages/limits/src/crash_evidence.ts
+++ b/packages/limits/src/crash_evidence.ts
@@ -109,6 +109,11 @@
     return this.#lost.has(endpoint);
   }
 
+  /** Whether any lost attempt is undecided. */
+  hasUndecided(): boolean {
+    return this.#lost.size > 0;
+  }
+
   /** How many of a body's lost attempts are undecided. */
   countUndecided(fingerprint: string): number {
     let count = 0;
--- a/packages/scheduling/src/pool/counter_exchange.ts
+++ b/packages/scheduling/src/pool/counter_exchange.ts
@@ -9,7 +9,7 @@
   type Term,
   type VmId,
 } from "@rattanvane/protocol";
-import { CounterPace } from "./counter_pace.ts";
+import { computeSignPeriod, CounterPace } from "./counter_pace.ts";
 import type { PoolState } from "./pool_state.ts";
 import type { Sibling, Siblings } from "./siblings.ts";
 
@@ -47,17 +47,22 @@
       this.#siblings.version !== this.#sentVersion;
   }
 
-  /** How long nothing has to be sent unless there is news, in milliseconds. */
-  computeRest(): number {
+  /** How long nothing has to be sent; undefined while there is news. */
+  findRest(): number | undefined {
     const { now, options } = this.#state;
-    return this.#pace.computeRest(now, options.settings);
+    if (this.#siblings.size === 0) {
+      return computeSignPeriod(options.settings);
+    }
+    return this.hasNews
+      ? undefined
+      : this.#pace.computeRest(now, options.settings);
   }
 
   /** Sends what changed as the budget allows, and signs of life between. */
   runStep(): void {
     const { now, options } = this.#state;
     const isDue = this.#pace.isDue(now, options.settings) && this.hasNews;
-    if (isDue || this.computeRest() <= 0) {
+    if (isDue || this.#pace.computeRest(now, options.settings) <= 0) {
       this.#remote.removeSilent(now - REMEMBERED_MILLISECONDS);
       this.#send();
     }
--- a/packages/scheduling/src/pool/counter_pace.ts
+++ b/packages/scheduling/src/pool/counter_pace.ts
@@ -56,5 +56,5 @@
 
 /** Computes the longest time between two messages, in milliseconds. */
 export function computeSignPeriod(settings: CounterPaceSettings): number {
-  return settings.siblingTimeoutMilliseconds / SIGNS_A_TIMEOUT;
+  return Math.floor(settings.siblingTimeoutMilliseconds / SIGNS_A_TIMEOUT);
 }
--- a/packages/scheduling/src/pool/pool_endpoints.ts
+++ b/packages/scheduling/src/pool/pool_endpoints.ts
@@ -167,6 +167,16 @@
     return sum;
   }
 
+  /** Whether attempts, or endpoints that are gone, wait for their end. */
+  hasUnsettled(): boolean {
+    for (const { limit, removed } of this.#endpoints.values()) {
+      if (removed || limit.outstanding > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Drops counts that nothing has confirmed, and endpoints that are gone. */
   removeExpired(): void {
     for (const endpoint of this.#endpoints.values()) {
--- a/packages/scheduling/src/pool/pool_scheduler.ts
+++ b/packages/scheduling/src/pool/pool_scheduler.ts
@@ -18,6 +18,7 @@
 import { EntryMover } from "./entry_mover.ts";
 import { Granter } from "./granter.ts";
 import { type PoolSchedulerOptions, PoolState } from "./pool_state.ts";
+import { PoolTicker } from "./pool_ticker.ts";
 import { buildPoolStatus, type PoolStatus } from "./pool_status.ts";
 import { Refuser } from "./refuser.ts";
 import { type SiblingAddress, Siblings } from "./siblings.ts";
@@ -53,6 +54,7 @@
   readonly #exchange: CounterExchange;
   readonly #mover: EntryMover;
   readonly #intake: EntryIntake;
+  readonly #ticker: PoolTicker;
   /** Who has the pool after this scheduler; undefined while it grants. */
   #successor: VmId | undefined;
 
@@ -80,15 +82,16 @@
       mover: this.#mover,
       siblings: this.#siblings,
     });
+    this.#ticker = new PoolTicker({
+      clock: options.clock,
+      tickMilliseconds: options.settings.tickMilliseconds,
+      findIdleTime: () => this.#findIdleTime(),
+    });
   }
 
   /** Rebuilds the state, then runs timeouts and exchanges until aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, settings } = this.#state.options;
-    while (!signal.aborted) {
-      this.#runStep();
-      await clock.sleep(settings.tickMilliseconds, signal);
-    }
+    await this.#ticker.run(() => this.#runStep(), signal);
   }
 
   /** Applies one message and grants what it made possible. */
@@ -210,6 +213,17 @@
     this.#mover.useOffers();
     this.#mover.offerFreeSlots();
     this.#exchange.sendOnBacklog();
+    this.#ticker.update();
+  }
+
+  /** How long timeouts and exchanges can rest; undefined while they cannot. */
+  #findIdleTime(): number | undefined {
+    const hasWork = this.#reports.isRebuilding || this.#state.hasWork() ||
+      this.#mover.moving > 0;
+    if (hasWork || this.#siblings.hasWaiting()) {
+      return undefined;
+    }
+    return this.#exchange.findRest();
   }
 
   #apply(from: VmId, message: SchedulerMessage): void {
--- a/packages/scheduling/src/pool/pool_state.ts
+++ b/packages/scheduling/src/pool/pool_state.ts
@@ -83,6 +83,12 @@
     return this.options.clock.now();
   }
 
+  /** Whether anything waits, runs, or is to be decided in time. */
+  hasWork(): boolean {
+    return this.queue.size > 0 || this.attempts.size > 0 ||
+      this.evidence.hasUndecided() || this.endpoints.hasUnsettled();
+  }
+
   /** Computes what an entry is charged with at its grant. */
   estimate(organisation: string, hintedCost: number): number {
     const { service } = this.options.pool;
