--- a/packages/router/src/ingress/cost_reporter.ts
+++ b/packages/router/src/ingress/cost_reporter.ts
@@ -62,9 +62,9 @@
       const key = formatPool(current.pool);
       const batch = batches.get(key) ?? { pool: current.pool, attempts: [] };
       batches.set(key, batch);
-      const { attempt, cost, bootId } = current;
-      batch.attempts.push({ attempt, cost, bootId });
-      current.reportedCost = Math.max(cost, current.reportedCost);
+      batch.attempts.push(createCost(current));
+      current.isBootReported = current.bootId !== "";
+      current.reportedCost = Math.max(current.cost, current.reportedCost);
       current.reportedAt = now;
     }
     return [...batches.values()];
@@ -84,3 +84,10 @@
   const exceeds = current.cost > current.reportedCost * NEWS_FACTOR;
   return exceeds || now - current.reportedAt >= LIFE_SIGN_MILLISECONDS;
 }
+
+/** One boot id an attempt is enough; it is as long as all the rest. */
+function createCost(current: CurrentAttempt): AttemptCost {
+  const { attempt, cost } = current;
+  const bootId = current.isBootReported ? "" : current.bootId;
+  return { attempt, cost, bootId };
+}
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -275,6 +275,7 @@
       reportedCost: grant.chargedCost,
       reportedAt: this.#options.clock.now(),
       bootId: "",
+      isBootReported: false,
     };
     this.#log(entry, "was granted an endpoint", {
       attempt: grant.attempt,
--- a/packages/router/src/ingress/ledger_entry.ts
+++ b/packages/router/src/ingress/ledger_entry.ts
@@ -34,6 +34,8 @@
   reportedAt: number;
   /** The endpoint's boot id as its answer told it; empty when unknown. */
   bootId: string;
+  /** Whether the scheduler has been told the boot id. */
+  isBootReported: boolean;
 }
 
 /** What ends a wait for a grant. */
--- a/packages/router/src/ingress/resume_handler.ts
+++ b/packages/router/src/ingress/resume_handler.ts
@@ -85,6 +85,7 @@
         reportedCost: 0,
         reportedAt: clock.now(),
         bootId: "",
+        isBootReported: false,
       };
       environment.dispatcher.followTerm(entry.pool);
       const run = new CompletionRun({ environment, entry, request, sink });
