Read the platform's pages in one place

Cause: three clients had the same thirteen lines for a read that answers with one JSON object. Change: readPage; the log line of a queued request reads "request was queued" (the proof that waits for it follows). Behaviour is the same.

--- a/packages/bench/src/proofs/at_most_once_test.ts
+++ b/packages/bench/src/proofs/at_most_once_test.ts
@@ -131,7 +131,7 @@
   {
     title: "the ingress killed before sending",
     act: async (step) => {
-      const query = { sentence: "queued a request" };
+      const query = { sentence: "request was queued" };
       await step.crashPlainServices();
       const queued = step.proof.waitForLines("vm-a1", { query, more: 1 });
       const first = step.send("vm-a1");
--- a/packages/platform/src/http/http_object_store.ts
+++ b/packages/platform/src/http/http_object_store.ts
@@ -4,9 +4,10 @@
 import { z } from "zod";
 import { ObjectStore } from "../object_store.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform_error.ts";
-import { createStatusError, parseAnswer } from "./platform_answers.ts";
+import { createStatusError } from "./platform_answers.ts";
 import { PlatformCallKind } from "./platform_call.ts";
 import type { PlatformTransport } from "./platform_transport.ts";
+import { readPage } from "./read_page.ts";
 
 const STATUS_OK = 200;
 const STATUS_NO_CONTENT = 204;
@@ -59,23 +60,15 @@
     prefix: string,
     signal: AbortSignal,
   ): Promise<Result<string[], PlatformError>> {
-    const answer = await this.#transport.run({
-      kind: PlatformCallKind.Read,
-      method: "GET",
-      path: `/objects?${new URLSearchParams({ prefix })}`,
-    }, signal);
-    if (answer.isErr()) {
-      return err(answer.error);
-    }
-    if (answer.value.status !== STATUS_OK) {
-      return err(
-        createStatusError(answer.value, PlatformErrorKind.BadResponse),
-      );
-    }
-    return parseAnswer(answer.value, {
-      schema: NAMES_SCHEMA,
-      errorKind: PlatformErrorKind.BadResponse,
-    }).map((page) => page.names);
+    const page = await readPage(
+      this.#transport,
+      {
+        path: `/objects?${new URLSearchParams({ prefix })}`,
+        schema: NAMES_SCHEMA,
+      },
+      signal,
+    );
+    return page.map(({ names }) => names);
   }
 
   override delete(
--- a/packages/platform/src/http/http_table_service.ts
+++ b/packages/platform/src/http/http_table_service.ts
@@ -13,6 +13,7 @@
 import { createStatusError, parseAnswer } from "./platform_answers.ts";
 import { PlatformCallKind } from "./platform_call.ts";
 import type { PlatformTransport } from "./platform_transport.ts";
+import { readPage } from "./read_page.ts";
 
 /** The most writes that the platform takes in one transaction. */
 export const MAXIMUM_TRANSACTION_WRITES = 100;
@@ -81,23 +82,12 @@
     if (query.afterKey !== undefined) {
       parameters.set("after", query.afterKey);
     }
-    const answer = await this.#transport.run({
-      kind: PlatformCallKind.Read,
-      method: "GET",
-      path: `/table/rows?${parameters}`,
-    }, signal);
-    if (answer.isErr()) {
-      return err(answer.error);
-    }
-    if (answer.value.status !== STATUS_OK) {
-      return err(
-        createStatusError(answer.value, PlatformErrorKind.BadResponse),
-      );
-    }
-    return parseAnswer(answer.value, {
-      schema: ROWS_SCHEMA,
-      errorKind: PlatformErrorKind.BadResponse,
-    }).map((page) => page.rows);
+    const page = await readPage(
+      this.#transport,
+      { path: `/table/rows?${parameters}`, schema: ROWS_SCHEMA },
+      signal,
+    );
+    return page.map(({ rows }) => rows);
   }
 
   override async write(
--- a/packages/platform/src/http/http_vm_list.ts
+++ b/packages/platform/src/http/http_vm_list.ts
@@ -1,14 +1,12 @@
 /** The platform's list of VMs over HTTP. */
 
-import { err, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { z } from "zod";
-import { type PlatformError, PlatformErrorKind } from "../platform_error.ts";
+import type { PlatformError } from "../platform_error.ts";
 import { type ListedVm, ListedVmState, VmList } from "../vm_list.ts";
-import { createStatusError, parseAnswer } from "./platform_answers.ts";
-import { PlatformCallKind } from "./platform_call.ts";
 import type { PlatformTransport } from "./platform_transport.ts";
+import { readPage } from "./read_page.ts";
 
-const STATUS_OK = 200;
 const HIGHEST_PORT = 65_535;
 
 const PORT_SCHEMA = z.int().min(1).max(HIGHEST_PORT);
@@ -35,22 +33,11 @@
   override async list(
     signal: AbortSignal,
   ): Promise<Result<ListedVm[], PlatformError>> {
-    const answer = await this.#transport.run({
-      kind: PlatformCallKind.Read,
-      method: "GET",
-      path: "/vms",
-    }, signal);
-    if (answer.isErr()) {
-      return err(answer.error);
-    }
-    if (answer.value.status !== STATUS_OK) {
-      return err(
-        createStatusError(answer.value, PlatformErrorKind.BadResponse),
-      );
-    }
-    return parseAnswer(answer.value, {
-      schema: LIST_SCHEMA,
-      errorKind: PlatformErrorKind.BadResponse,
-    }).map((page) => page.vms);
+    const page = await readPage(
+      this.#transport,
+      { path: "/vms", schema: LIST_SCHEMA },
+      signal,
+    );
+    return page.map(({ vms }) => vms);
   }
 }
--- a/packages/router/src/ingress/dispatcher.ts
+++ b/packages/router/src/ingress/dispatcher.ts
@@ -205,7 +205,7 @@
       pool,
       entry: entry.describeWaiting(self, now),
     });
-    this.#log(entry, "queued a request", { pool: formatPool(pool), scheduler });
+    this.#log(entry, "was queued", { pool: formatPool(pool), scheduler });
   }
 
   async #expire(
