--- a/packages/bench/src/proofs/configuration_test.ts
+++ b/packages/bench/src/proofs/configuration_test.ts
@@ -41,7 +41,7 @@
     return await Promise.all(routers.map(({ vm }) => readVersion(vm)));
   }
 
-  async function acceptChange(weight: number): Promise<number> {
+  async function addChange(weight: number): Promise<number> {
     const change = await proof.fleet.parts.configurator.append([{
       kind: OperationKind.PutOrganisation,
       organisation: {
@@ -56,7 +56,7 @@
   }
 
   it("is in force within 4 s and stays when a VM restarts empty", async () => {
-    const version = await acceptChange(2);
+    const version = await addChange(2);
     await proof.pause(IN_FORCE_MILLISECONDS);
     expect(new Set(await listVersions())).to.deep.equal(new Set([version]));
     await proof.fleet.parts.platform.applyFaults({ outage: true });
@@ -68,10 +68,10 @@
   });
 
   it("reaches a zone that was cut off, and never goes back", async () => {
-    const before = await acceptChange(3);
+    const before = await addChange(3);
     await proof.pause(IN_FORCE_MILLISECONDS);
     await proof.fleet.parts.network.cutOffZone("zone-b");
-    const accepted = await acceptChange(4);
+    const accepted = await addChange(4);
     await proof.pause(IN_FORCE_MILLISECONDS);
     expect(await readVersion("vm-a1")).to.equal(accepted);
     expect(await readVersion("vm-b1")).to.equal(before);
