Say what the limit of requests at a VM counts

Cause: the description said that it counts what waits; it counts what runs as well, for both hold a body.

--- a/packages/settings/src/tuning_sections.ts
+++ b/packages/settings/src/tuning_sections.ts
@@ -27,7 +27,7 @@
       .describe("How long a caller may take to send the body."),
     waitingRequests: buildInteger({ least: 1, most: 1_000_000 })
       .default(2_000)
-      .describe("The most requests that wait at this VM at once."),
+      .describe("The most requests that wait or run at this VM at once."),
     answerBufferBytes: buildInteger({
       least: KIBIBYTE,
       most: 64 * MEBIBYTE,
