Serve forwarding routes on the users' platform

Cause: the product's routers serve their own interface only; the users' platform gives routes, endpoints and callers in its own words.

Ruled out: sending each request through the scheduler of a pool. While its VM is frozen or cut off nobody serves the pool, and bounds on cold endpoints would hang on one process (docs/design/platform.md).

No tests yet.

--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -13,6 +13,7 @@
 export { RandomSource } from "./common/random.ts";
 export { type DeadlineOptions, runWithDeadline } from "./common/timeout.ts";
 export {
+  createBufferedLogger,
   createLogger,
   createSilentLogger,
   type LogFields,
--- a/packages/base/src/node/logger.ts
+++ b/packages/base/src/node/logger.ts
@@ -62,6 +62,36 @@
   return new PinoLogger(target, part);
 }
 
+const BUFFER_BYTES = 8 * 1024;
+const MOST_HELD_BYTES = 4 * 1024 * 1024;
+const FLUSH_MILLISECONDS = 500;
+
+/**
+ * Creates a logger that never blocks: lines are written in the background, and
+ * dropped, with a count, when standard output is not read.
+ */
+export function createBufferedLogger(part: string, level: LogLevel): Logger {
+  const destination = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: BUFFER_BYTES,
+    maxLength: MOST_HELD_BYTES,
+  });
+  const target = pino({ level, base: undefined }, destination);
+  let dropped = 0;
+  destination.on("drop", () => dropped++);
+  destination.on("error", () => dropped++);
+  const timer = setInterval(() => {
+    if (dropped > 0) {
+      target.warn({ dropped }, `${part}: log lines were dropped`);
+      dropped = 0;
+    }
+    destination.flush();
+  }, FLUSH_MILLISECONDS);
+  timer.unref();
+  return new PinoLogger(target, part);
+}
+
 /** Creates a logger that writes nothing, for tests and tools. */
 export function createSilentLogger(): Logger {
   return createLogger("silent", LogLevel.Silent);
--- /dev/null
+++ b/packages/forwarding/src/mod.ts
@@ -0,0 +1,31 @@
+/** Forwarding routes on every VM. */
+
+export { RowDecoder, type TableNames } from "./beliefs/configuration_source.ts";
+export {
+  ForwardingRouter,
+  type ForwardingRouterOptions,
+} from "./forwarding_router.ts";
+export type {
+  FleetBounds,
+  ForwardingSettings,
+  ListenAddress,
+} from "./forwarding_settings.ts";
+export type { CallIdentity, Prompt, PromptPart } from "./model/call.ts";
+export {
+  type AnswerHeaders,
+  type AnswerMarks,
+  type AttemptHeaders,
+  Dialect,
+  type EndpointLoadMarks,
+} from "./model/dialect.ts";
+export { EndpointPhase, type EndpointRecord } from "./model/endpoint_record.ts";
+export {
+  type CallerLimits,
+  type EngineTraits,
+  type ForwardedService,
+  type ForwardingConfiguration,
+  type ForwardingOrganisation,
+  type ForwardingRoute,
+  Repeatability,
+  type RouteTarget,
+} from "./model/route.ts";
--- /dev/null
+++ b/packages/forwarding/src/peers/peer_exchange.ts
@@ -0,0 +1,203 @@
+/** Tells the other VMs what this one runs and knows, and listens to them. */
+
+import type { Clock, Logger } from "@rattanvane/base";
+import type { SuspectRegistry } from "@rattanvane/limits";
+import {
+  type EndpointUse,
+  type ForwardingMessage,
+  type ForwardingStateMessage,
+  MessageKind,
+  type MessageSender,
+  type VmId,
+} from "@rattanvane/protocol";
+import type { QuestionTime } from "../beliefs/freshness.ts";
+import type { TableFollower } from "../beliefs/table_follower.ts";
+import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
+import type { ShareMeter } from "../scheduling/share_meter.ts";
+
+const LEAST_PERIOD_MILLISECONDS = 50;
+/** Keeps the messages of a large fleet within what a VM can handle. */
+const PERIOD_MILLISECONDS_PER_PEER = 8;
+/** How many of the own messages' times are remembered. */
+const REMEMBERED_QUESTIONS = 128;
+const LIVE_MILLISECONDS = 1_500;
+const REQUEST_AGAIN_MILLISECONDS = 200;
+
+interface KnownPeer {
+  heardAt: number;
+  lastSequence: number;
+}
+
+/** What the exchange works with. */
+export interface PeerExchangeOptions {
+  sender: MessageSender;
+  clock: Clock;
+  logger: Logger;
+  suspects: SuspectRegistry;
+  shares: ShareMeter;
+  configuration: TableFollower;
+  listPeers: () => Iterable<VmId>;
+  listSchedulers: () => Iterable<ServiceScheduler>;
+}
+
+/** Exchanges soft state with every peer at a steady pace. */
+export class PeerExchange {
+  readonly #options: PeerExchangeOptions;
+  readonly #peers = new Map<VmId, KnownPeer>();
+  readonly #questions = new Map<number, QuestionTime>();
+  #sequence = 0;
+  #requestedAt = -Infinity;
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** How many peers were heard of lately. */
+  countLive(): number {
+    const oldest = this.#options.clock.now() - LIVE_MILLISECONDS;
+    let live = 0;
+    for (const { heardAt } of this.#peers.values()) {
+      live += heardAt >= oldest ? 1 : 0;
+    }
+    return live;
+  }
+
+  /** Sends until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const peers = [...this.#options.listPeers()];
+      this.#sendAll(peers);
+      const period = Math.max(
+        LEAST_PERIOD_MILLISECONDS,
+        peers.length * PERIOD_MILLISECONDS_PER_PEER,
+      );
+      await this.#options.clock.sleep(period, signal);
+    }
+  }
+
+  /** Takes a peer's message. */
+  handle(from: VmId, message: ForwardingMessage): void {
+    switch (message.kind) {
+      case MessageKind.ForwardingState:
+        return this.#merge(from, message);
+      case MessageKind.RequestTable:
+        return this.#sendTable(from);
+      case MessageKind.TableCopy:
+        this.#options.logger.info("took a peer's configuration", {
+          from,
+          version: message.version,
+        });
+        return this.#options.configuration.merge(message);
+    }
+  }
+
+  #sendAll(peers: readonly VmId[]): void {
+    const { sender, configuration } = this.#options;
+    this.#sequence++;
+    const question = configuration.freshness.readQuestionTime();
+    this.#questions.set(this.#sequence, question);
+    this.#questions.delete(this.#sequence - REMEMBERED_QUESTIONS);
+    const state = this.#describeState();
+    for (const vm of peers) {
+      const echo = this.#peers.get(vm)?.lastSequence ?? 0;
+      sender.send(vm, { ...state, echo });
+    }
+  }
+
+  #describeState(): ForwardingStateMessage {
+    const { shares, suspects, configuration } = this.#options;
+    const endpoints: EndpointUse[] = [];
+    for (const scheduler of this.#options.listSchedulers()) {
+      for (const endpoint of scheduler.listEndpoints()) {
+        const use = endpoint.describeUse();
+        if (use !== undefined) {
+          endpoints.push(use);
+        }
+      }
+    }
+    const age = configuration.freshness.computeAge();
+    const isKnown = configuration.version >= 0 && Number.isFinite(age);
+    return {
+      kind: MessageKind.ForwardingState,
+      sequence: this.#sequence,
+      echo: 0,
+      endpoints,
+      organisations: shares.listLocal(),
+      suspects: suspects.listSuspects(),
+      ...(isKnown
+        ? {
+          configuration: {
+            version: configuration.version,
+            digest: configuration.digest,
+            ageMilliseconds: Math.ceil(age),
+          },
+        }
+        : {}),
+    };
+  }
+
+  #merge(from: VmId, message: ForwardingStateMessage): void {
+    const { clock, shares, suspects } = this.#options;
+    this.#peers.set(from, {
+      heardAt: clock.now(),
+      lastSequence: message.sequence,
+    });
+    const uses = new Map(message.endpoints.map((use) => [use.endpoint, use]));
+    for (const scheduler of this.#options.listSchedulers()) {
+      scheduler.mergePeer(from, uses);
+    }
+    shares.mergePeer(from, message.organisations);
+    if (message.suspects.length > 0) {
+      suspects.merge(message.suspects);
+    }
+    this.#mergeConfiguration(from, message);
+  }
+
+  /**
+   * A peer's statement was made after it had this VM's message, so its proof
+   * is no older than the peer says, counted from when that message was sent.
+   */
+  #mergeConfiguration(from: VmId, message: ForwardingStateMessage): void {
+    const { configuration } = this.#options;
+    const theirs = message.configuration;
+    const asked = this.#questions.get(message.echo);
+    if (theirs === undefined) {
+      return;
+    }
+    const isSame = theirs.digest === configuration.digest;
+    if (isSame || theirs.version <= configuration.version) {
+      if (asked !== undefined && configuration.version >= 0) {
+        configuration.freshness.confirm(asked, theirs.ageMilliseconds);
+      }
+      return;
+    }
+    if (!configuration.connected || configuration.version < 0) {
+      this.#requestTable(from);
+    }
+  }
+
+  #requestTable(from: VmId): void {
+    const { clock, sender } = this.#options;
+    const now = clock.now();
+    if (now - this.#requestedAt >= REQUEST_AGAIN_MILLISECONDS) {
+      this.#requestedAt = now;
+      sender.send(from, { kind: MessageKind.RequestTable });
+    }
+  }
+
+  #sendTable(to: VmId): void {
+    const { configuration, sender } = this.#options;
+    if (configuration.version < 0) {
+      return;
+    }
+    sender.send(to, {
+      kind: MessageKind.TableCopy,
+      version: configuration.version,
+      rows: configuration.listRows().map(({ key, version, value }) => ({
+        key,
+        version,
+        value,
+      })),
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -0,0 +1,57 @@
+/** Contract: which endpoint a request should go to. */
+
+import type { ForwardedCall } from "../model/call.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { PrefillWork } from "./prefill_model.ts";
+
+/** Why there is no endpoint for a request now. */
+export enum NoRoomReason {
+  /** No endpoint takes requests at all. */
+  NoEndpoint = "noEndpoint",
+  /** Every endpoint that could be used has enough to do. */
+  Busy = "busy",
+  /** Those that are left are cold and have had what they bear. */
+  Cold = "cold",
+}
+
+/** An endpoint for a request, and what that means for it. */
+export interface Choice {
+  endpoint: EndpointState;
+  /** What the endpoint reads for this request. */
+  work: PrefillWork;
+  /** What it has to read altogether until the request's first event. */
+  totalWork: PrefillWork;
+  /** Tokens of shared parts that are read again. */
+  missingTokens: number;
+  /** The time to the first event, in milliseconds. */
+  predictedMilliseconds: number;
+}
+
+/** How urgently a request needs an endpoint. */
+export interface ChoiceRequest {
+  call: ForwardedCall;
+  /** Endpoints that failed the request. */
+  avoid: ReadonlySet<string>;
+  /** How much of the objective is left, in milliseconds. */
+  remainingMilliseconds: number;
+  /** Only spare capacity may be used. */
+  isSpareOnly: boolean;
+}
+
+/** Chooses among the endpoints of a service. */
+export abstract class EndpointChooser {
+  /** The best endpoint with room for a request, or why there is none. */
+  abstract choose(
+    request: ChoiceRequest,
+    endpoints: readonly EndpointState[],
+  ): Choice | NoRoomReason;
+
+  /** Whether so much is taken that a request may be refused. */
+  abstract isLoaded(endpoints: readonly EndpointState[]): boolean;
+
+  /** The best endpoint whatever it has to do; undefined for none at all. */
+  abstract chooseAnyway(
+    request: ChoiceRequest,
+    endpoints: readonly EndpointState[],
+  ): Choice | undefined;
+}
--- /dev/null
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -0,0 +1,337 @@
+/** Queues, places and refuses this VM's requests for one service. */
+
+import { type Clock, Deferred, type Logger } from "@rattanvane/base";
+import type { EndpointUse, ServiceId, VmId } from "@rattanvane/protocol";
+import { computeCost, type ForwardedCall } from "../model/call.ts";
+import type { EndpointRecord } from "../model/endpoint_record.ts";
+import type { ForwardedService } from "../model/route.ts";
+import type { ColdBound } from "./cold_guard.ts";
+import {
+  type Choice,
+  type ChoiceRequest,
+  type EndpointChooser,
+  NoRoomReason,
+} from "./endpoint_chooser.ts";
+import { EndpointState, type OwnAttempt } from "./endpoint_state.ts";
+import { RefusalPolicy } from "./refusal_policy.ts";
+import type { ShareMeter } from "./share_meter.ts";
+
+const STEP_MILLISECONDS = 10;
+
+/** A request may be sent to an endpoint. */
+export interface Grant {
+  endpoint: EndpointState;
+  attempt: OwnAttempt;
+  choice: Choice;
+  waitedMilliseconds: number;
+}
+
+/** Why a request is not sent. */
+export enum RefusalKind {
+  NoEndpoint = "noEndpoint",
+  /** It cannot be answered in time. */
+  Overload = "overload",
+  /** Its deadline passed while it waited. */
+  Expired = "expired",
+  /** Its caller is gone. */
+  Abandoned = "abandoned",
+}
+
+/** A request is not sent, now or later. */
+export interface Refusal {
+  kind: RefusalKind;
+  retryAfterMilliseconds: number;
+  waitedMilliseconds: number;
+}
+
+/** What becomes of a queued request. */
+export type Verdict =
+  | { grant: Grant; refusal?: never }
+  | { grant?: never; refusal: Refusal };
+
+interface Waiting {
+  call: ForwardedCall;
+  avoid: ReadonlySet<string>;
+  since: number;
+  /** After this it is too late for the objective. */
+  startBy: number;
+  verdict: Deferred<Verdict>;
+}
+
+/** What a service's scheduler works with. */
+export interface ServiceSchedulerOptions {
+  service: ForwardedService;
+  chooser: EndpointChooser;
+  shares: ShareMeter;
+  clock: Clock;
+  logger: Logger;
+  /** What a cold endpoint bears from all VMs. */
+  coldBound: ColdBound;
+  /** Among how many VMs bounds are divided. */
+  countVms: () => number;
+}
+
+/** The queue of one service at this VM. */
+export class ServiceScheduler {
+  readonly service: ServiceId;
+  readonly #options: ServiceSchedulerOptions;
+  readonly #endpoints = new Map<string, EndpointState>();
+  readonly #refusals: RefusalPolicy;
+  #queue: Waiting[] = [];
+  #timer: ReturnType<typeof setTimeout> | undefined;
+
+  constructor(options: ServiceSchedulerOptions) {
+    this.service = options.service.name;
+    this.#options = options;
+    this.#refusals = new RefusalPolicy(options.clock);
+  }
+
+  get waiting(): number {
+    return this.#queue.length;
+  }
+
+  get coldBound(): ColdBound {
+    return this.#options.coldBound;
+  }
+
+  /** Queues a request until there is an endpoint for it or it is refused. */
+  submit(
+    call: ForwardedCall,
+    avoid: ReadonlySet<string>,
+    signal: AbortSignal,
+  ): Promise<Verdict> {
+    const now = this.#options.clock.now();
+    const waiting: Waiting = {
+      call,
+      avoid,
+      since: now,
+      startBy: call.receivedAt + call.route.objectiveMilliseconds,
+      verdict: new Deferred<Verdict>(),
+    };
+    const abandon = () => {
+      if (this.#remove(waiting)) {
+        this.#refuse(waiting, RefusalKind.Abandoned);
+      }
+    };
+    signal.addEventListener("abort", abandon, { once: true });
+    void waiting.verdict.promise.then(() =>
+      signal.removeEventListener("abort", abandon)
+    );
+    this.#insert(waiting);
+    this.#runStep();
+    return waiting.verdict.promise;
+  }
+
+  /** Notes the end of an attempt, and uses the room. */
+  release(grant: Grant): void {
+    grant.endpoint.removeAttempt(grant.attempt);
+    this.#runStep();
+  }
+
+  /** Notes that an answer has begun, and uses the room. */
+  markAnswering(grant: Grant): void {
+    grant.endpoint.markAnswering(grant.attempt);
+    this.#runStep();
+  }
+
+  /** Takes in an endpoint's registration. */
+  updateEndpoint(record: EndpointRecord, isOpen: boolean): EndpointState {
+    const known = this.#endpoints.get(record.id);
+    if (known !== undefined) {
+      known.record = record;
+      known.isOpen = isOpen;
+      this.#runStep();
+      return known;
+    }
+    const created = new EndpointState(record, this.#options.clock);
+    created.isOpen = isOpen;
+    this.#endpoints.set(record.id, created);
+    this.#runStep();
+    return created;
+  }
+
+  removeEndpoint(id: string): void {
+    this.#endpoints.delete(id);
+  }
+
+  listEndpoints(): Iterable<EndpointState> {
+    return this.#endpoints.values();
+  }
+
+  /** Takes in what a peer runs at the service's endpoints. */
+  mergePeer(vm: VmId, uses: ReadonlyMap<string, EndpointUse>): void {
+    for (const [id, endpoint] of this.#endpoints) {
+      const use = uses.get(id);
+      endpoint.mergePeer(vm, use);
+      const downAge = use?.downAgeMilliseconds;
+      if (downAge !== undefined && !endpoint.cold.isDown) {
+        endpoint.cold.markDown(downAge);
+      }
+    }
+    if (this.#queue.length > 0) {
+      this.#runStep();
+    }
+  }
+
+  /** Grants and refuses what can be decided now. */
+  #runStep(): void {
+    const endpoints = this.#listUsable();
+    const left: Waiting[] = [];
+    for (const waiting of this.#queue) {
+      if (!this.#decide(waiting, endpoints, left.length)) {
+        left.push(waiting);
+      }
+    }
+    this.#queue = left;
+    this.#scheduleStep();
+  }
+
+  /** Returns whether the request left the queue. */
+  #decide(
+    waiting: Waiting,
+    endpoints: readonly EndpointState[],
+    ahead: number,
+  ): boolean {
+    const now = this.#options.clock.now();
+    if (now >= waiting.call.endsAt) {
+      this.#refuse(waiting, RefusalKind.Expired);
+      return true;
+    }
+    const request = this.#describeRequest(waiting, now);
+    const choice = this.#options.chooser.choose(request, endpoints);
+    if (typeof choice === "object") {
+      this.#grant(waiting, choice);
+      return true;
+    }
+    if (choice === NoRoomReason.NoEndpoint && !this.#mayReturn()) {
+      this.#refuse(waiting, RefusalKind.NoEndpoint);
+      return true;
+    }
+    return this.#refuseOrForce(waiting, { request, endpoints, ahead });
+  }
+
+  #refuseOrForce(
+    waiting: Waiting,
+    situation: {
+      request: ChoiceRequest;
+      endpoints: readonly EndpointState[];
+      ahead: number;
+    },
+  ): boolean {
+    const { request, endpoints, ahead } = situation;
+    const { chooser } = this.#options;
+    const isHopeless = this.#refusals.isHopeless({
+      remainingMilliseconds: request.remainingMilliseconds,
+      waitedMilliseconds: this.#options.clock.now() - waiting.since,
+      ahead,
+    });
+    if (!isHopeless && !request.isSpareOnly) {
+      return false;
+    }
+    if (chooser.isLoaded(endpoints)) {
+      this.#refuse(waiting, RefusalKind.Overload);
+      return true;
+    }
+    const choice = chooser.chooseAnyway(request, endpoints);
+    if (choice === undefined) {
+      return false;
+    }
+    this.#grant(waiting, choice);
+    return true;
+  }
+
+  #describeRequest(waiting: Waiting, now: number): ChoiceRequest {
+    const { call, avoid, startBy } = waiting;
+    const { shares } = this.#options;
+    const isSpareOnly = call.organisation !== undefined &&
+      call.identity.prompt !== undefined &&
+      shares.isOverShare(call.organisation);
+    return { call, avoid, remainingMilliseconds: startBy - now, isSpareOnly };
+  }
+
+  /** Open endpoints that are not cold beyond what they bear. */
+  #listUsable(): EndpointState[] {
+    const { coldBound, countVms } = this.#options;
+    const vms = countVms();
+    return [...this.#endpoints.values()].filter((endpoint) =>
+      endpoint.isOpen && endpoint.cold.hasRoom(coldBound, vms)
+    );
+  }
+
+  /** Whether an endpoint is open, though it cannot be used at the moment. */
+  #mayReturn(): boolean {
+    for (const endpoint of this.#endpoints.values()) {
+      if (endpoint.isOpen) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #grant(waiting: Waiting, choice: Choice): void {
+    const { call } = waiting;
+    const { endpoint, work } = choice;
+    const attempt = endpoint.addAttempt(work);
+    if (call.identity.prompt !== undefined) {
+      const memory = this.#options.service.engine?.memoryTokens ?? 0;
+      endpoint.cache.record(call.identity.prompt, memory);
+    }
+    if (call.organisation !== undefined) {
+      this.#options.shares.recordGranted(call.organisation, computeCost(call));
+    }
+    this.#refusals.recordGrant();
+    const waitedMilliseconds = this.#options.clock.now() - waiting.since;
+    waiting.verdict.resolve({
+      grant: { endpoint, attempt, choice, waitedMilliseconds },
+    });
+  }
+
+  #refuse(waiting: Waiting, kind: RefusalKind): void {
+    const waitedMilliseconds = this.#options.clock.now() - waiting.since;
+    const retryAfterMilliseconds = this.#refusals.computeRetryAfter(
+      this.#queue.length,
+    );
+    waiting.verdict.resolve({
+      refusal: { kind, retryAfterMilliseconds, waitedMilliseconds },
+    });
+  }
+
+  /** Keeps the queue in the order in which requests are looked at. */
+  #insert(waiting: Waiting): void {
+    let place = this.#queue.length;
+    while (
+      place > 0 &&
+      compareWaiting(waiting, this.#queue[place - 1] as Waiting) < 0
+    ) {
+      place--;
+    }
+    this.#queue.splice(place, 0, waiting);
+  }
+
+  #remove(waiting: Waiting): boolean {
+    const place = this.#queue.indexOf(waiting);
+    if (place < 0) {
+      return false;
+    }
+    this.#queue.splice(place, 1);
+    return true;
+  }
+
+  #scheduleStep(): void {
+    if (this.#queue.length === 0 || this.#timer !== undefined) {
+      return;
+    }
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#runStep();
+    }, STEP_MILLISECONDS);
+  }
+}
+
+/** The more urgent first, then what must start first. */
+function compareWaiting(first: Waiting, second: Waiting): number {
+  if (first.call.priority !== second.call.priority) {
+    return first.call.priority - second.call.priority;
+  }
+  return first.startBy - second.startBy;
+}
--- /dev/null
+++ b/packages/forwarding/src/scheduling/share_meter.ts
@@ -0,0 +1,184 @@
+/** Who asks for more than its max-min share of the engines. */
+
+import type { Clock } from "@rattanvane/base";
+import type {
+  OrganisationId,
+  OrganisationUse,
+  VmId,
+} from "@rattanvane/protocol";
+import { SlidingSum } from "./sliding_window.ts";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** What a silent peer said counts for so long. */
+const PEER_EXPIRY_MILLISECONDS = 1_000;
+const LEVEL_REFRESH_MILLISECONDS = 50;
+
+interface LocalUse {
+  asked: SlidingSum;
+  granted: SlidingSum;
+}
+
+interface PeerUse {
+  receivedAt: number;
+  uses: readonly OrganisationUse[];
+}
+
+interface FleetUse {
+  asked: number;
+  granted: number;
+}
+
+/** What the meter is created with. */
+export interface ShareMeterOptions {
+  clock: Clock;
+  /** The time over which shares are even. */
+  periodMilliseconds: number;
+}
+
+/**
+ * Adds up what each organisation asked for and got in the newest period, here
+ * and at the peers, and finds the level above which asking is not owed.
+ */
+export class ShareMeter {
+  readonly #options: ShareMeterOptions;
+  readonly #local = new Map<OrganisationId, LocalUse>();
+  readonly #peers = new Map<VmId, PeerUse>();
+  #fleet = new Map<OrganisationId, FleetUse>();
+  #level = Infinity;
+  #computedAt = -Infinity;
+  #costPerSecond = 0;
+
+  constructor(options: ShareMeterOptions) {
+    this.#options = options;
+  }
+
+  /** Takes in what all engines produce a second; 0 for unknown. */
+  updateCapacity(costPerSecond: number): void {
+    this.#costPerSecond = costPerSecond;
+  }
+
+  recordAsked(organisation: OrganisationId, cost: number): void {
+    this.#findLocal(organisation).asked.add(cost);
+  }
+
+  recordGranted(organisation: OrganisationId, cost: number): void {
+    this.#findLocal(organisation).granted.add(cost);
+    const fleet = this.#fleet.get(organisation);
+    if (fleet !== undefined) {
+      fleet.granted += cost;
+    }
+  }
+
+  /** Takes in what a peer measured in its own newest period. */
+  mergePeer(vm: VmId, uses: readonly OrganisationUse[]): void {
+    const receivedAt = this.#options.clock.now();
+    this.#peers.set(vm, { receivedAt, uses });
+  }
+
+  /** What this VM measured in the newest period. */
+  listLocal(): OrganisationUse[] {
+    const uses: OrganisationUse[] = [];
+    for (const [organisation, { asked, granted }] of this.#local) {
+      if (asked.sum > 0) {
+        uses.push({
+          organisation,
+          asked: Math.round(asked.sum),
+          granted: Math.round(granted.sum),
+        });
+      } else {
+        this.#local.delete(organisation);
+      }
+    }
+    return uses;
+  }
+
+  /** Whether an organisation has had its share of the newest period. */
+  isOverShare(organisation: OrganisationId): boolean {
+    this.#refresh();
+    return (this.#fleet.get(organisation)?.granted ?? 0) >= this.#level;
+  }
+
+  /** The cost units of a period above which nothing is owed. */
+  get level(): number {
+    this.#refresh();
+    return this.#level;
+  }
+
+  #findLocal(organisation: OrganisationId): LocalUse {
+    const known = this.#local.get(organisation);
+    if (known !== undefined) {
+      return known;
+    }
+    const { clock, periodMilliseconds } = this.#options;
+    const created = {
+      asked: new SlidingSum(clock, periodMilliseconds),
+      granted: new SlidingSum(clock, periodMilliseconds),
+    };
+    this.#local.set(organisation, created);
+    return created;
+  }
+
+  #refresh(): void {
+    const now = this.#options.clock.now();
+    if (now - this.#computedAt < LEVEL_REFRESH_MILLISECONDS) {
+      return;
+    }
+    this.#computedAt = now;
+    this.#fleet = this.#sumFleet(now);
+    const asked = [...this.#fleet.values()].map((use) => use.asked);
+    this.#level = this.#costPerSecond === 0
+      ? Infinity
+      : computeShareLevel(asked, this.#computeCapacity());
+  }
+
+  #computeCapacity(): number {
+    const seconds = this.#options.periodMilliseconds / MILLISECONDS_PER_SECOND;
+    return this.#costPerSecond * seconds;
+  }
+
+  #sumFleet(now: number): Map<OrganisationId, FleetUse> {
+    const fleet = new Map<OrganisationId, FleetUse>();
+    addUses(fleet, this.listLocal());
+    for (const [vm, { receivedAt, uses }] of this.#peers) {
+      if (now - receivedAt > PEER_EXPIRY_MILLISECONDS) {
+        this.#peers.delete(vm);
+      } else {
+        addUses(fleet, uses);
+      }
+    }
+    return fleet;
+  }
+}
+
+/**
+ * Finds the level at which everyone gets the lesser of what it asks and the
+ * level, and all together get the capacity; infinite when there is enough.
+ */
+export function computeShareLevel(
+  asked: readonly number[],
+  capacity: number,
+): number {
+  const sorted = [...asked].sort((first, second) => first - second);
+  let left = capacity;
+  for (let index = 0; index < sorted.length; index++) {
+    const share = left / (sorted.length - index);
+    const next = sorted[index] as number;
+    if (next > share) {
+      return share;
+    }
+    left -= next;
+  }
+  return Infinity;
+}
+
+function addUses(
+  fleet: Map<OrganisationId, FleetUse>,
+  uses: readonly OrganisationUse[],
+): void {
+  for (const { organisation, asked, granted } of uses) {
+    const sum = fleet.get(organisation) ?? { asked: 0, granted: 0 };
+    sum.asked += asked;
+    sum.granted += granted;
+    fleet.set(organisation, sum);
+  }
+}
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -5,6 +5,13 @@
 export { HeaderName } from "./headers.ts";
 export { addAbortListener } from "./http/abort_listener.ts";
 export { BodyTooLongError, readBody } from "./http/body_reader.ts";
+export {
+  ConnectError,
+  type ConnectorOptions,
+  createConnector,
+} from "./http/connector.ts";
+export { collectForwardedHeaders } from "./http/endpoint_headers.ts";
+export { type PlatformCall, PlatformCallKind } from "./http/platform_call.ts";
 export {
   HttpEndpointClient,
   type HttpEndpointClientOptions,
@@ -33,5 +40,6 @@
 } from "./http/stream_events.ts";
 export { ObjectStore } from "./object_store.ts";
 export { PlatformError, PlatformErrorKind } from "./platform_error.ts";
+export * from "./table_feed.ts";
 export * from "./table_service.ts";
 export * from "./vm_list.ts";
--- a/packages/platform/src/platform_error.ts
+++ b/packages/platform/src/platform_error.ts
@@ -14,6 +14,8 @@
   RateLimited = "rateLimited",
   BadResponse = "badResponse",
   NotFound = "notFound",
+  /** The changes that were asked for are no longer kept. */
+  HistoryGone = "historyGone",
 }
 
 /** An error of a platform service. */
@@ -41,4 +43,5 @@
   [PlatformErrorKind.BadResponse]:
     "check that the address in the settings is the platform's",
   [PlatformErrorKind.NotFound]: "check the name",
+  [PlatformErrorKind.HistoryGone]: "read the whole table and go on from there",
 };
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -86,6 +86,16 @@
   "attempts",
   "chargedCost",
   "contacts",
+  "endpoints",
+  "organisations",
+  "asked",
+  "granted",
+  "prefillTokens",
+  "echo",
+  "table",
+  "rows",
+  "digest",
+  "downAgeMilliseconds",
 ];
 
 /** Builds the map of names to numbers. */
--- a/packages/protocol/src/message_kind.ts
+++ b/packages/protocol/src/message_kind.ts
@@ -29,4 +29,7 @@
   KeyResult = "keyResult",
   WriteRow = "writeRow",
   RowResult = "rowResult",
+  ForwardingState = "forwardingState",
+  RequestTable = "requestTable",
+  TableCopy = "tableCopy",
 }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,6 +1,7 @@
 /** All messages between routers. */
 
 import type * as configuration from "./configuration_messages.ts";
+import type * as forwarding from "./forwarding_messages.ts";
 import type * as key from "./key_messages.ts";
 import type * as membership from "./membership_messages.ts";
 import type * as row from "./row_messages.ts";
@@ -47,6 +48,12 @@
 /** Messages about rows that a collector writes. */
 export type RowMessage = row.WriteRowMessage | row.RowResultMessage;
 
+/** Messages of VMs that serve forwarding routes. */
+export type ForwardingMessage =
+  | forwarding.ForwardingStateMessage
+  | forwarding.RequestTableMessage
+  | forwarding.TableCopyMessage;
+
 /** Any message between routers. */
 export type Message =
   | MembershipMessage
@@ -54,4 +61,5 @@
   | IngressMessage
   | ConfigurationMessage
   | KeyMessage
-  | RowMessage;
+  | RowMessage
+  | ForwardingMessage;
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -2,6 +2,7 @@
 
 export { decodeMessage, encodeMessage } from "./codec.ts";
 export * from "./configuration_messages.ts";
+export * from "./forwarding_messages.ts";
 export { MAXIMUM_FRAME_BYTES } from "./frame.ts";
 export { PROTOCOL_VERSION } from "./handshake.ts";
 export * from "./identifiers.ts";
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -56,6 +56,11 @@
       case MessageKind.Handover:
         ownership.handleHandover(message.pool);
         return host.handle(from, message);
+      case MessageKind.ForwardingState:
+      case MessageKind.RequestTable:
+      case MessageKind.TableCopy:
+        // Of VMs that serve forwarding routes, which this one does not.
+        return;
       default:
         return host.handle(from, message);
     }
--- a/packages/tools/src/layers.ts
+++ b/packages/tools/src/layers.ts
@@ -7,7 +7,7 @@
   ["platform"],
   ["configuration"],
   ["membership", "fairness", "limits", "once"],
-  ["scheduling"],
+  ["scheduling", "forwarding"],
   ["router"],
   ["cli"],
   ["emulator"],
