Write the operators' page and the proofs of forwarding routes

A returning caller of an organisation over its share is told to come back after 0.8 s or more, instead of 2 s.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -15,6 +15,7 @@
   type Message,
   MessageKind,
   PeerNetwork,
+  type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
 import type { RowDecoder } from "./beliefs/configuration_source.ts";
@@ -173,16 +174,21 @@
     this.#options.logger.info("stopped");
   }
 
-  async #start(): Promise<void> {
-    const { settings, logger } = this.#options;
-    const { signal } = this.#lifetime;
-    this.#connectBeliefs();
-    for (const seed of settings.seeds) {
-      if (seed.vm !== settings.self.vm) {
+  /** Looks for more VMs to speak to. */
+  updateSeeds(seeds: readonly VmContact[]): void {
+    for (const seed of seeds) {
+      if (seed.vm !== this.#options.settings.self.vm) {
         this.#contacts.add(seed.vm);
         this.#network.learnContact(seed);
       }
     }
+  }
+
+  async #start(): Promise<void> {
+    const { settings, logger } = this.#options;
+    const { signal } = this.#lifetime;
+    this.#connectBeliefs();
+    this.updateSeeds(settings.seeds);
     await this.#network.start(signal);
     this.#runTask("beliefs", this.#beliefs.run(signal));
     this.#runTask("VM registry", this.#registry.run(signal));
--- /dev/null
+++ b/packages/forwarding/src/metrics/operations_page_test.ts
@@ -0,0 +1,39 @@
+import { readFileSync } from "node:fs";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { RefusalKind } from "../scheduling/service_scheduler.ts";
+import { ForwardingMetrics } from "./forwarding_metrics.ts";
+
+const PAGE = readFileSync("docs/OPERATIONS.md", "utf8");
+
+function listRows(pattern: RegExp): string[][] {
+  return PAGE.split("\n").filter((line) => pattern.test(line))
+    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+}
+
+describe("the operations page", () => {
+  it("lists every metric with its type, labels and meaning", async () => {
+    const metrics = new ForwardingMetrics();
+    metrics.registerGauges({
+      countWaiting: () => 0,
+      countRunning: () => 0,
+      readConfigurationVersion: () => 0,
+      computeConfigurationAgeSeconds: () => 0,
+      countPeers: () => 0,
+    });
+    const known = await metrics.registry.getMetricsAsJSON();
+    const listed = listRows(/^\| `rattanvane_/);
+    expect(listed.map(([name, type, , help]) => [name, type, help]))
+      .to.have.deep.members(
+        known.map(({ name, type, help }) => [`\`${name}\``, type, help]),
+      );
+  });
+
+  it("explains every reason of a refusal that callers see", () => {
+    const listed = listRows(/^\| `(overShare|[a-z]+[A-Z]?[a-z]+)` /)
+      .map(([reason]) => reason?.replaceAll("`", ""));
+    const seen = Object.values(RefusalKind)
+      .filter((kind) => kind !== RefusalKind.Abandoned);
+    expect(listed).to.include.members(seen);
+  });
+});
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -59,7 +59,7 @@
 
 /** The settings that fit most fleets. */
 export const DEFAULT_ENGINE_CHOOSER_SETTINGS: EngineChooserSettings = {
-  rereadMilliseconds: 60,
+  rereadMilliseconds: 90,
   longPauseShare: 0.45,
   longEngineShare: 0.33,
   shortBesideLongMilliseconds: 250,
--- a/packages/forwarding/src/scheduling/refusal_policy.ts
+++ b/packages/forwarding/src/scheduling/refusal_policy.ts
@@ -9,11 +9,11 @@
 /** Late requests that may wait, as a part of those sent in a second. */
 const LATE_SHARE = 0.5;
 /** The part of its time that a request waits for an endpoint. */
-const LONGEST_WAIT_SHARE = 0.2;
+const LONGEST_WAIT_SHARE = 0.08;
 const LEAST_RETRY_AFTER_MILLISECONDS = 250;
 const LONGEST_RETRY_AFTER_MILLISECONDS = 2_000;
-/** Half the period over which shares are even, in most deployments. */
-const SHARE_RETRY_AFTER_MILLISECONDS = 2_000;
+/** Long enough for some of the share to come free. */
+const SHARE_RETRY_AFTER_MILLISECONDS = 800;
 const SPREAD_SHARE = 0.5;
 
 /** A request that waits and has no endpoint. */
--- a/packages/tools/src/check_layers.ts
+++ b/packages/tools/src/check_layers.ts
@@ -3,11 +3,10 @@
 import { readFileSync } from "node:fs";
 import { sep } from "node:path";
 import process from "node:process";
-import { LAYERS, TEST_SUPPORT } from "./layers.ts";
+import { ADAPTER_PACKAGE, LAYERS, TEST_SUPPORT } from "./layers.ts";
 import { ADAPTER_FOLDER, listSourceFiles } from "./source_files.ts";
 
 const IMPORT_PATTERN = /from "(@rattanvane\/([a-z-]+)[^"]*|rattanvane)"/;
-const ADAPTER_PACKAGE = "platform-adapter";
 
 interface Violation {
   file: string;
@@ -16,6 +15,9 @@
 }
 
 function findLayer(packageName: string): number {
+  if (packageName === ADAPTER_PACKAGE) {
+    return LAYERS.length;
+  }
   return LAYERS.findIndex((layer) => layer.includes(packageName));
 }
 
--- a/packages/tools/src/layers.ts
+++ b/packages/tools/src/layers.ts
@@ -10,8 +10,6 @@
   ["scheduling", "forwarding"],
   ["router"],
   ["cli"],
-  // Nothing but its own entry may import the platform's names.
-  ["platform-adapter"],
   ["emulator"],
   ["bench"],
   ["tools"],
@@ -19,3 +17,6 @@
 
 /** Test support that no package of the product may import. */
 export const TEST_SUPPORT = new Set(["emulator", "bench", "tools"]);
+
+/** Translates the users' platform; above the product, which never imports it. */
+export const ADAPTER_PACKAGE = "platform-adapter";
