Ask endpoints that are down for their health; pass tables on between peers

Cause: placement avoids an endpoint that was found to be down, so no request would notice that it is back under the same id, and one lost packet of a handshake counted as a crash. An endpoint that had just registered could be granted requests before it was marked as cold. A VM that the store turned away knew no endpoints.

Ruled out: letting one request in many try (a caller pays for the probe).

Change: EndpointProber asks only endpoints that are down. Only a refused connection, or a second failed one without an answer between, counts as down; a peer's word counts only for the time after the own last answer. A registration is marked cold before it is opened. Peers pass on both followed tables. The proof behind a key may be 0.4 s younger than the bound instead of 0.8 s, and the configuration's poll waits 1.2 s.

--- a/packages/forwarding/src/beliefs/fleet_beliefs.ts
+++ b/packages/forwarding/src/beliefs/fleet_beliefs.ts
@@ -8,7 +8,7 @@
 import { EndpointDirectory } from "./endpoint_directory.ts";
 import { type RowChange, TableFollower } from "./table_follower.ts";
 
-const CONFIGURATION_WAIT_MILLISECONDS = 1_800;
+const CONFIGURATION_WAIT_MILLISECONDS = 1_200;
 const ENDPOINTS_WAIT_MILLISECONDS = 1_800;
 const LAPSE_STEP_MILLISECONDS = 100;
 /** How long a request waits for a proof that its key still holds. */
@@ -29,10 +29,10 @@
 export class FleetBeliefs {
   readonly directory: EndpointDirectory;
   readonly configuration: TableFollower;
+  readonly endpoints: TableFollower;
   readonly routesChanged = new Emitter<RouteTable>();
   readonly drainsChanged = new Emitter<ZoneId>();
   readonly #options: FleetBeliefsOptions;
-  readonly #endpoints: TableFollower;
   #routes: RouteTable | undefined;
 
   constructor(options: FleetBeliefsOptions) {
@@ -44,7 +44,7 @@
       table: decoder.tables.operator,
       waitMilliseconds: CONFIGURATION_WAIT_MILLISECONDS,
     });
-    this.#endpoints = new TableFollower({
+    this.endpoints = new TableFollower({
       ...options,
       table: decoder.tables.endpoints,
       waitMilliseconds: ENDPOINTS_WAIT_MILLISECONDS,
@@ -79,11 +79,11 @@
       (change) => this.#applyOperatorRow(change),
       signal,
     );
-    this.#endpoints.changes.listen(
+    this.endpoints.changes.listen(
       (change) => this.#applyEndpointRow(change),
       signal,
     );
-    this.#endpoints.contactChanges.listen(({ connected }) => {
+    this.endpoints.contactChanges.listen(({ connected }) => {
       if (connected) {
         this.directory.noteStoreBack();
       } else {
@@ -92,7 +92,7 @@
     }, signal);
     await Promise.all([
       this.configuration.run(signal),
-      this.#endpoints.run(signal),
+      this.endpoints.run(signal),
       this.#runLapses(signal),
     ]);
   }
--- a/packages/forwarding/src/beliefs/table_follower.ts
+++ b/packages/forwarding/src/beliefs/table_follower.ts
@@ -54,6 +54,10 @@
     this.freshness = new Freshness(options.clock);
   }
 
+  get table(): string {
+    return this.#options.table;
+  }
+
   /** The store's version up to which the copy is whole; -1 for no copy. */
   get version(): number {
     return this.#version;
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -26,6 +26,7 @@
 import type { CallerAnswer } from "./ingress/caller_answer.ts";
 import { EndpointTransport } from "./ingress/endpoint_transport.ts";
 import { ForwardRun } from "./ingress/forward_run.ts";
+import { readHealth } from "./ingress/health_question.ts";
 import { IngressServer } from "./ingress/ingress_server.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
@@ -34,6 +35,7 @@
 import type { RouteTable } from "./model/route_table.ts";
 import { PeerExchange } from "./peers/peer_exchange.ts";
 import { VmRegistry } from "./peers/vm_registry.ts";
+import { EndpointProber } from "./scheduling/endpoint_prober.ts";
 import { ShareMeter } from "./scheduling/share_meter.ts";
 import { ServiceHosts } from "./service_hosts.ts";
 
@@ -47,7 +49,7 @@
 const DRAIN_STEP_MILLISECONDS = 20;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Between the proof behind a key and the bound of its revocation. */
-const REVOCATION_MARGIN_MILLISECONDS = 800;
+const REVOCATION_MARGIN_MILLISECONDS = 400;
 
 /** What the router meets the outside with. */
 export interface ForwardingRouterOptions {
@@ -80,6 +82,7 @@
   readonly #registry: VmRegistry;
   readonly #exchange: PeerExchange;
   readonly #transport: EndpointTransport;
+  readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
   readonly #contacts = new Set<VmId>();
@@ -127,6 +130,13 @@
       countVms: () => this.#countVms(),
       forgetAddress: (address) => this.#transport.forget(address),
     }, signal);
+    this.#prober = new EndpointProber({
+      clock,
+      logger: logger.forPart("scheduler"),
+      listServices: () => this.#hosts.listProbed(),
+      askHealth: (endpoint, path, limit) =>
+        readHealth(endpoint, { path, transport: this.#transport }, limit),
+    });
     this.#network = this.#createNetwork();
     this.#registry = new VmRegistry({
       self: settings.self,
@@ -149,6 +159,7 @@
       suspects: this.#suspects,
       shares: this.#shares,
       configuration: this.#beliefs.configuration,
+      endpoints: this.#beliefs.endpoints,
       listPeers: () => this.#contacts,
       listSchedulers: () => this.#hosts.listSchedulers(),
     });
@@ -192,6 +203,7 @@
     await this.#network.start(signal);
     this.#runTask("beliefs", this.#beliefs.run(signal));
     this.#runTask("VM registry", this.#registry.run(signal));
+    this.#runTask("endpoint prober", this.#prober.run(signal));
     this.#runTask("peer exchange", this.#exchange.run(signal));
     await this.#readiness.start(signal);
     await this.#ingress.start(signal);
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -33,6 +33,8 @@
 const STATUS_TIMEOUT = 504;
 /** Sends that did not run are repeated so often beyond the route's attempts. */
 const FREE_RESENDS = 3;
+/** Names a connection that was refused in the reason of a failure. */
+const REFUSED = "ECONNREFUSED";
 const LEAST_TIME_FOR_RETRY_MILLISECONDS = 20;
 
 /** What the runs of all requests share. */
@@ -141,7 +143,7 @@
     const { scheduler } = this.#options;
     switch (outcome.kind) {
       case OutcomeKind.NotSent:
-        endpoint.cold.markDown();
+        endpoint.cold.noteUnreachable(outcome.reason.includes(REFUSED));
         return;
       case OutcomeKind.WrongInstance:
         endpoint.isOpen = false;
--- a/packages/forwarding/src/peers/peer_exchange.ts
+++ b/packages/forwarding/src/peers/peer_exchange.ts
@@ -8,6 +8,7 @@
   type ForwardingStateMessage,
   MessageKind,
   type MessageSender,
+  type TableCopyMessage,
   type VmId,
 } from "@rattanvane/protocol";
 import type { QuestionTime } from "../beliefs/freshness.ts";
@@ -23,7 +24,7 @@
 /** How many of the own messages' times are remembered. */
 const REMEMBERED_QUESTIONS = 128;
 const LIVE_MILLISECONDS = 1_500;
-const REQUEST_AGAIN_MILLISECONDS = 200;
+const REQUEST_AGAIN_MILLISECONDS = 300;
 
 interface KnownPeer {
   heardAt: number;
@@ -38,6 +39,7 @@
   suspects: SuspectRegistry;
   shares: ShareMeter;
   configuration: TableFollower;
+  endpoints: TableFollower;
   listPeers: () => Iterable<VmId>;
   listSchedulers: () => Iterable<ServiceScheduler>;
 }
@@ -48,7 +50,7 @@
   readonly #peers = new Map<VmId, KnownPeer>();
   readonly #questions = new Map<number, QuestionTime>();
   #sequence = 0;
-  #requestedAt = -Infinity;
+  readonly #requestedAt = new Map<string, number>();
   #pause: ChildAbort | undefined;
 
   constructor(options: PeerExchangeOptions) {
@@ -92,13 +94,9 @@
       case MessageKind.ForwardingState:
         return this.#merge(from, message);
       case MessageKind.RequestTable:
-        return this.#sendTable(from);
+        return this.#sendTable(from, message.table);
       case MessageKind.TableCopy:
-        this.#options.logger.info("took a peer's configuration", {
-          from,
-          version: message.version,
-        });
-        return this.#options.configuration.merge(message);
+        return this.#mergeTable(from, message);
     }
   }
 
@@ -162,6 +160,28 @@
       suspects.merge(message.suspects);
     }
     this.#mergeConfiguration(from, message);
+    if (!this.#options.endpoints.connected) {
+      this.#requestTable(from, this.#options.endpoints);
+    }
+  }
+
+  #mergeTable(from: VmId, copy: TableCopyMessage): void {
+    const follower = this.#findTable(copy.table);
+    if (follower === undefined || copy.version <= follower.version) {
+      return;
+    }
+    this.#options.logger.info("took a peer's copy of a table", {
+      from,
+      table: copy.table,
+      version: copy.version,
+      former: follower.version,
+    });
+    follower.merge(copy);
+  }
+
+  #findTable(table: string): TableFollower | undefined {
+    const { configuration, endpoints } = this.#options;
+    return [configuration, endpoints].find((one) => one.table === table);
   }
 
   /**
@@ -183,28 +203,30 @@
       return;
     }
     if (!configuration.connected || configuration.version < 0) {
-      this.#requestTable(from);
+      this.#requestTable(from, configuration);
     }
   }
 
-  #requestTable(from: VmId): void {
+  #requestTable(from: VmId, { table }: TableFollower): void {
     const { clock, sender } = this.#options;
     const now = clock.now();
-    if (now - this.#requestedAt >= REQUEST_AGAIN_MILLISECONDS) {
-      this.#requestedAt = now;
-      sender.send(from, { kind: MessageKind.RequestTable });
+    const requestedAt = this.#requestedAt.get(table) ?? -Infinity;
+    if (now - requestedAt >= REQUEST_AGAIN_MILLISECONDS) {
+      this.#requestedAt.set(table, now);
+      sender.send(from, { kind: MessageKind.RequestTable, table });
     }
   }
 
-  #sendTable(to: VmId): void {
-    const { configuration, sender } = this.#options;
-    if (configuration.version < 0) {
+  #sendTable(to: VmId, table: string): void {
+    const follower = this.#findTable(table);
+    if (follower === undefined || follower.version < 0) {
       return;
     }
-    sender.send(to, {
+    this.#options.sender.send(to, {
       kind: MessageKind.TableCopy,
-      version: configuration.version,
-      rows: configuration.listRows().map(({ key, version, value }) => ({
+      table,
+      version: follower.version,
+      rows: follower.listRows().map(({ key, version, value }) => ({
         key,
         version,
         value,
--- a/packages/forwarding/src/scheduling/cold_guard.ts
+++ b/packages/forwarding/src/scheduling/cold_guard.ts
@@ -8,6 +8,9 @@
 /** Covers the time between a start and the first news of it. */
 const MARGIN_MILLISECONDS = 400;
 
+/** Two failed connections within this time are no lost packets. */
+const SECOND_FAILURE_MILLISECONDS = 2_000;
+
 /** What an endpoint may be sent while it is cold. */
 export interface ColdBound {
   /** How long it is cold after a start. */
@@ -26,6 +29,8 @@
   readonly #arrivals: SlidingLog;
   #isDown = false;
   #downAt = -Infinity;
+  #unreachableAt = -Infinity;
+  #answeredAt = -Infinity;
   #coldUntil = -Infinity;
 
   constructor(clock: Clock) {
@@ -53,7 +58,39 @@
     this.#coldUntil = Math.max(this.#coldUntil, until);
   }
 
-  /** Notes that the endpoint could not be reached. */
+  /** Notes that another process has just started there. */
+  markStart(coldMilliseconds: number): void {
+    this.#isDown = false;
+    this.markCold(coldMilliseconds);
+  }
+
+  /**
+   * Notes that no connection could be made. A lost packet does that too, so
+   * only a refusal, or a second failure with no answer between, counts.
+   */
+  noteUnreachable(isRefused: boolean): void {
+    const now = this.#clock.now();
+    const isSecond = now - this.#unreachableAt <= SECOND_FAILURE_MILLISECONDS &&
+      this.#answeredAt < this.#unreachableAt;
+    this.#unreachableAt = now;
+    if (isRefused || isSecond) {
+      this.markDown();
+    }
+  }
+
+  /** Takes in that a peer found it down, unless it has answered since. */
+  noteDownAtPeer(ageMilliseconds: number): void {
+    if (this.#answeredAt < this.#clock.now() - ageMilliseconds) {
+      this.markDown(ageMilliseconds);
+    }
+  }
+
+  /** Notes that an answer has begun. */
+  noteAnswer(): void {
+    this.#answeredAt = this.#clock.now();
+  }
+
+  /** Notes that the endpoint is down. */
   markDown(ageMilliseconds = 0): void {
     const downAt = this.#clock.now() - ageMilliseconds;
     this.#isDown = true;
@@ -62,6 +99,7 @@
 
   /** Notes an answer to an attempt that was sent at a time. */
   markAnswer(sentAt: number, bound: ColdBound): void {
+    this.noteAnswer();
     if (this.#isDown && sentAt > this.#downAt) {
       this.#isDown = false;
       this.markCold(bound.coldMilliseconds);
--- a/packages/forwarding/src/scheduling/cold_guard_test.ts
+++ b/packages/forwarding/src/scheduling/cold_guard_test.ts
@@ -53,6 +53,49 @@
     expect(guard.isDown).to.equal(true);
   });
 
+  it("does not take one lost connection for a crash", async () => {
+    const clock = new ManualClock();
+    const guard = new ColdGuard(clock);
+    guard.noteUnreachable(false);
+    expect(guard.isDown).to.equal(false);
+    await clock.advance(100);
+    guard.noteAnswer();
+    await clock.advance(100);
+    guard.noteUnreachable(false);
+    expect(guard.isDown).to.equal(false);
+    await clock.advance(100);
+    guard.noteUnreachable(false);
+    expect(guard.isDown).to.equal(true);
+  });
+
+  it("takes a refused connection for a crash", () => {
+    const guard = new ColdGuard(new ManualClock());
+    guard.noteUnreachable(true);
+    expect(guard.isDown).to.equal(true);
+  });
+
+  it("believes a peer only about the time after its own last answer", async () => {
+    const clock = new ManualClock();
+    const guard = new ColdGuard(clock);
+    await clock.advance(1_000);
+    guard.noteAnswer();
+    await clock.advance(100);
+    guard.noteDownAtPeer(500);
+    expect(guard.isDown).to.equal(false);
+    guard.noteDownAtPeer(50);
+    expect(guard.isDown).to.equal(true);
+  });
+
+  it("takes an endpoint that registers anew for up and cold", async () => {
+    const clock = new ManualClock();
+    const guard = new ColdGuard(clock);
+    guard.markDown();
+    guard.markStart(3_000);
+    expect(guard.isDown).to.equal(false);
+    await clock.advance(2_900);
+    expect(guard.isCold).to.equal(true);
+  });
+
   it("gives nothing where a VM's part is below one", () => {
     const guard = new ColdGuard(new ManualClock());
     guard.markCold(3_000);
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -97,6 +97,11 @@
 
   /** Notes that an attempt's answer has begun. */
   markAnswering(attempt: OwnAttempt): void {
+    this.cold.noteAnswer();
+    this.#markRead(attempt);
+  }
+
+  #markRead(attempt: OwnAttempt): void {
     if (attempt.isReading) {
       attempt.isReading = false;
       this.#ownTokens -= attempt.work.tokens;
@@ -107,7 +112,7 @@
   /** Notes the end of an attempt. */
   removeAttempt(attempt: OwnAttempt): void {
     if (this.#attempts.delete(attempt)) {
-      this.markAnswering(attempt);
+      this.#markRead(attempt);
     }
   }
 
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -179,7 +179,7 @@
       endpoint.mergePeer(vm, use);
       const downAge = use?.downAgeMilliseconds;
       if (downAge !== undefined && !endpoint.cold.isDown) {
-        endpoint.cold.markDown(downAge);
+        endpoint.cold.noteDownAtPeer(downAge);
       }
     }
     if (this.#queue.length > 0) {
--- a/packages/forwarding/src/service_hosts.ts
+++ b/packages/forwarding/src/service_hosts.ts
@@ -15,6 +15,7 @@
 } from "./model/route.ts";
 import type { ColdBound } from "./scheduling/cold_guard.ts";
 import type { EndpointChooser } from "./scheduling/endpoint_chooser.ts";
+import type { ProbedService } from "./scheduling/endpoint_prober.ts";
 import { EngineChooser } from "./scheduling/engine_chooser.ts";
 import { PlainChooser } from "./scheduling/plain_chooser.ts";
 import { PrefillModel } from "./scheduling/prefill_model.ts";
@@ -65,6 +66,13 @@
     return this.#hosts.get(service);
   }
 
+  /** Services with what a prober needs of them. */
+  *listProbed(): Iterable<ProbedService> {
+    for (const { scheduler, service } of this.#hosts.values()) {
+      yield { scheduler, healthPath: service.healthPath };
+    }
+  }
+
   *listSchedulers(): Iterable<ServiceScheduler> {
     for (const { scheduler } of this.#hosts.values()) {
       yield scheduler;
@@ -109,6 +117,13 @@
     const retries = new RetryAllowance(clock, bounds.retries);
     this.#hosts.set(service.name, { service, scheduler, retries, model });
     for (const record of directory.listService(service.name)) {
+      const endpoint = scheduler.updateEndpoint(record, false);
+      const age = clock.wallTime() - record.startedAtUnixMilliseconds;
+      if (record.coldMilliseconds > 0) {
+        endpoint.cold.markCold(record.coldMilliseconds);
+      } else if (age < service.coldMilliseconds) {
+        endpoint.cold.markCold(service.coldMilliseconds);
+      }
       scheduler.updateEndpoint(record, directory.isOpen(record.id));
     }
   }
@@ -125,15 +140,17 @@
     if (host === undefined) {
       return;
     }
-    const isOpen = directory.isOpen(record.id);
-    const endpoint = host.scheduler.updateEndpoint(record, isOpen);
+    // Nothing may be granted before it is known how cold the endpoint is.
+    const endpoint = host.scheduler.updateEndpoint(record, false);
     if (kind === DirectoryChangeKind.Started) {
       endpoint.restart();
+      endpoint.cold.markStart(host.service.coldMilliseconds);
       crashes.confirm(record.id);
     }
     if (record.coldMilliseconds > 0) {
       endpoint.cold.markCold(record.coldMilliseconds);
     }
+    host.scheduler.updateEndpoint(record, directory.isOpen(record.id));
   }
 }
 
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -45,9 +45,10 @@
   configuration?: TableAge;
 }
 
-/** Asks a peer for its copy of the configuration's table. */
+/** Asks a peer for its copy of a followed table. */
 export interface RequestTableMessage {
   kind: MessageKind.RequestTable;
+  table: string;
 }
 
 /** One row of a copied table. */
@@ -57,9 +58,10 @@
   value: Uint8Array;
 }
 
-/** A peer's copy of the configuration's table. */
+/** A peer's copy of a followed table. */
 export interface TableCopyMessage {
   kind: MessageKind.TableCopy;
+  table: string;
   /** The copy holds all changes up to this version. */
   version: number;
   rows: CopiedRow[];
