--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -59,12 +59,12 @@
 
 /** The settings that fit most fleets. */
 export const DEFAULT_ENGINE_CHOOSER_SETTINGS: EngineChooserSettings = {
-  rereadMilliseconds: 90,
+  rereadMilliseconds: 120,
   longPauseShare: 0.45,
   longEngineShare: 0.33,
   shortBesideLongMilliseconds: 250,
-  delayedStreamMilliseconds: 80,
-  backlogPauseShare: 0.6,
+  delayedStreamMilliseconds: 150,
+  backlogPauseShare: 0.55,
   objectiveShare: 0.9,
   leastWaitShare: 0.25,
   patienceShare: 0.55,
