Split the router and the run of a request; test peers, choosers and refusals

Change: FleetPeers, FinalAnswer and the chooser's settings stand in files of their own; RendezvousScores moved to base serves pools and engines. A VM whose row is no longer written stays off the list (it came back with the next read). Tests of the peer exchange, the registry, the plain chooser, kept prompt parts, refusals and crashes.

--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -20,3 +20,4 @@
   Logger,
   LogLevel,
 } from "./node/logger.ts";
+export { RendezvousScores } from "./node/rendezvous_scores.ts";
--- /dev/null
+++ b/packages/forwarding/src/beliefs/crash_watch_test.ts
@@ -0,0 +1,53 @@
+import { createSilentLogger, ManualClock } from "@rattanvane/base";
+import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { OutcomeKind } from "../model/attempt_outcome.ts";
+import { buildCall } from "../testing/fixtures.ts";
+import { CrashWatch } from "./crash_watch.ts";
+
+function createWatch() {
+  const clock = new ManualClock();
+  const suspects = new SuspectRegistry(clock, DEFAULT_SUSPECT_SETTINGS);
+  const watch = new CrashWatch({
+    clock,
+    logger: createSilentLogger(),
+    suspects,
+    vm: "vm-1",
+  });
+  return { clock, suspects, watch };
+}
+
+const CALL = buildCall(0, { fingerprint: "f" });
+
+describe("CrashWatch", () => {
+  it("does not take a lost answer alone for a crash", () => {
+    const { suspects, watch } = createWatch();
+    watch.settle(watch.watch("e1", CALL), OutcomeKind.Broken);
+    expect(suspects.isSuspect("f")).to.equal(false);
+  });
+
+  it("suspects what ran when the endpoint is then found to be down", () => {
+    const { suspects, watch } = createWatch();
+    watch.settle(watch.watch("e1", CALL), OutcomeKind.StreamBroken);
+    watch.settle(watch.watch("e1", buildCall(0)), OutcomeKind.NotSent);
+    expect(suspects.isSuspect("f")).to.equal(true);
+  });
+
+  it("suspects nobody at another endpoint, or long before", async () => {
+    const { clock, suspects, watch } = createWatch();
+    watch.settle(watch.watch("e1", CALL), OutcomeKind.Broken);
+    watch.confirm("e2");
+    await clock.advance(10_000);
+    watch.confirm("e1");
+    expect(suspects.isSuspect("f")).to.equal(false);
+  });
+
+  it("clears a request that is answered in whole", () => {
+    const { suspects, watch } = createWatch();
+    watch.settle(watch.watch("e1", CALL), OutcomeKind.Broken);
+    watch.confirm("e1");
+    watch.settle(watch.watch("e2", CALL), OutcomeKind.Answered);
+    expect(suspects.isSuspect("f")).to.equal(false);
+  });
+});
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -10,14 +10,7 @@
 } from "@rattanvane/base";
 import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
 import type { TableFeed } from "@rattanvane/platform";
-import {
-  type ForwardingMessage,
-  type Message,
-  MessageKind,
-  PeerNetwork,
-  type VmContact,
-  type VmId,
-} from "@rattanvane/protocol";
+import type { VmContact } from "@rattanvane/protocol";
 import type { RowDecoder } from "./beliefs/configuration_source.ts";
 import { CrashWatch } from "./beliefs/crash_watch.ts";
 import { FleetBeliefs } from "./beliefs/fleet_beliefs.ts";
@@ -33,8 +26,7 @@
 import { computeCost, type ForwardedCall } from "./model/call.ts";
 import type { Dialect } from "./model/dialect.ts";
 import type { RouteTable } from "./model/route_table.ts";
-import { PeerExchange } from "./peers/peer_exchange.ts";
-import { VmRegistry } from "./peers/vm_registry.ts";
+import { FleetPeers } from "./peers/fleet_peers.ts";
 import { EndpointProber } from "./scheduling/endpoint_prober.ts";
 import { ShareMeter } from "./scheduling/share_meter.ts";
 import { ServiceHosts } from "./service_hosts.ts";
@@ -78,14 +70,11 @@
   readonly #shares: ShareMeter;
   readonly #hosts: ServiceHosts;
   readonly #crashes: CrashWatch;
-  readonly #network: PeerNetwork;
-  readonly #registry: VmRegistry;
-  readonly #exchange: PeerExchange;
+  readonly #peers: FleetPeers;
   readonly #transport: EndpointTransport;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
-  readonly #contacts = new Set<VmId>();
   #phase = Phase.Starting;
 
   constructor(options: ForwardingRouterOptions) {
@@ -122,12 +111,12 @@
       clock,
       random: this.#random,
       logger: logger.forPart("scheduler"),
-      tellPeers: () => this.#exchange.hurry(),
+      tellPeers: () => this.#peers.hurry(),
       bounds,
       directory: this.#beliefs.directory,
       shares: this.#shares,
       crashes: this.#crashes,
-      countVms: () => this.#countVms(),
+      countVms: () => this.#peers.countVms(),
       forgetAddress: (address) => this.#transport.forget(address),
     }, signal);
     this.#prober = new EndpointProber({
@@ -137,30 +126,16 @@
       askHealth: (endpoint, path, limit) =>
         readHealth(endpoint, { path, transport: this.#transport }, limit),
     });
-    this.#network = this.#createNetwork();
-    this.#registry = new VmRegistry({
-      self: settings.self,
+    this.#peers = new FleetPeers({
+      settings,
       feed,
       clock,
-      logger: logger.forPart("membership"),
-      learn: (contact) => {
-        this.#contacts.add(contact.vm);
-        this.#network.learnContact(contact);
-      },
-      forget: (vm) => {
-        this.#contacts.delete(vm);
-        this.#network.forgetContact(vm);
-      },
-    });
-    this.#exchange = new PeerExchange({
-      sender: this.#network,
-      clock,
-      logger: logger.forPart("peers"),
+      random: this.#random,
+      logger,
       suspects: this.#suspects,
       shares: this.#shares,
       configuration: this.#beliefs.configuration,
       endpoints: this.#beliefs.endpoints,
-      listPeers: () => this.#contacts,
       listSchedulers: () => this.#hosts.listSchedulers(),
     });
     this.#ingress = this.#createIngress();
@@ -187,24 +162,17 @@
 
   /** Looks for more VMs to speak to. */
   updateSeeds(seeds: readonly VmContact[]): void {
-    for (const seed of seeds) {
-      if (seed.vm !== this.#options.settings.self.vm) {
-        this.#contacts.add(seed.vm);
-        this.#network.learnContact(seed);
-      }
-    }
+    this.#peers.updateSeeds(seeds);
   }
 
   async #start(): Promise<void> {
     const { settings, logger } = this.#options;
     const { signal } = this.#lifetime;
     this.#connectBeliefs();
-    this.updateSeeds(settings.seeds);
-    await this.#network.start(signal);
+    await this.#peers.start(signal);
     this.#runTask("beliefs", this.#beliefs.run(signal));
-    this.#runTask("VM registry", this.#registry.run(signal));
     this.#runTask("endpoint prober", this.#prober.run(signal));
-    this.#runTask("peer exchange", this.#exchange.run(signal));
+    this.#runTask("peers", this.#peers.run(signal));
     await this.#readiness.start(signal);
     await this.#ingress.start(signal);
     logger.info("listens", {
@@ -248,7 +216,7 @@
       LAST_MILLISECONDS;
     this.#phase = Phase.Leaving;
     logger.info("leaves the fleet", { active: this.#ingress.active });
-    void this.#registry.removeSelf(this.#lifetime.signal);
+    void this.#peers.leave(this.#lifetime.signal);
     await this.#waitUntil(
       () => false,
       Math.min(startedAt + NOTICE_MILLISECONDS, endsAt),
@@ -267,19 +235,6 @@
     }
   }
 
-  #createNetwork(): PeerNetwork {
-    const { settings, clock, logger } = this.#options;
-    return new PeerNetwork({
-      self: settings.self,
-      listen: settings.control,
-      fleetKeys: settings.fleetKeys,
-      clock,
-      random: this.#random,
-      logger: logger.forPart("protocol"),
-      receive: (from, message) => this.#receive(from, message),
-    });
-  }
-
   #createIngress(): IngressServer {
     const { settings, clock, logger, dialect } = this.#options;
     const reader = new CallReader({
@@ -326,7 +281,7 @@
       metrics: this.#metrics,
       suspects: this.#suspects,
       crashes: this.#crashes,
-      countVms: () => this.#countVms(),
+      countVms: () => this.#peers.countVms(),
     }, {
       call,
       answer,
@@ -338,22 +293,6 @@
     await run.run(signal);
   }
 
-  #receive(from: VmId, message: Message): void {
-    const isForwarding = message.kind === MessageKind.ForwardingState ||
-      message.kind === MessageKind.RequestTable ||
-      message.kind === MessageKind.TableCopy;
-    if (isForwarding) {
-      this.#contacts.add(from);
-      this.#exchange.handle(from, message as ForwardingMessage);
-    }
-  }
-
-  /** Among how many VMs the bounds of the fleet are divided. */
-  #countVms(): number {
-    return Math.max(this.#contacts.size, this.#registry.listOthers().length) +
-      1;
-  }
-
   #findObstacle(): string | undefined {
     switch (this.#phase) {
       case Phase.Starting:
@@ -374,7 +313,7 @@
       computeConfigurationAgeSeconds: () =>
         this.#beliefs.configuration.freshness.computeAge() /
         MILLISECONDS_PER_SECOND,
-      countPeers: () => this.#exchange.countLive(),
+      countPeers: () => this.#peers.countLive(),
     });
   }
 
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -6,11 +6,11 @@
 import { buildEndpoint, buildRoute } from "./testing/fixtures.ts";
 import { MemoryFeed } from "./testing/memory_feed.ts";
 import {
-  answerSound,
   type Arrival,
   type Behaviour,
   type CallOptions,
   RouterWorld,
+  sendSound,
   waitUntil,
 } from "./testing/router_world.ts";
 
@@ -18,21 +18,21 @@
 
 let world = new RouterWorld();
 
-function configureRoute(changes: Partial<ForwardingRoute>): void {
+function applyRoute(changes: Partial<ForwardingRoute>): void {
   world.configure({ routes: [buildRoute(changes)] });
 }
 
-function breakOff({ request }: Arrival): void {
+function stopConnection({ request }: Arrival): void {
   request.socket.destroy();
 }
 
-function refuseToRun(_: Arrival, response: ServerResponse): void {
+function sendNotRun(_: Arrival, response: ServerResponse): void {
   response.writeHead(503, { "x-not-run": "1" });
   response.end();
 }
 
 /** Sends events up to a number and then breaks off within the next. */
-function streamUpTo(last: number, isWhole: boolean): Behaviour {
+function createStream(last: number, isWhole: boolean): Behaviour {
   return ({ endpoint, request }, response) => {
     const first = Number(request.headers["x-last-event"] ?? 0) + 1;
     response.writeHead(200, {
@@ -68,7 +68,7 @@
 
   it("forwards a request and names its organisation, not its key", async () => {
     world.configure();
-    await world.startEndpoint("e1", answerSound);
+    await world.startEndpoint("e1", sendSound);
     const router = await world.startReadyRouter();
     const result = await world.call(router, {
       body: "dough",
@@ -86,7 +86,7 @@
   });
 
   it("refuses what it cannot admit, and nothing of it runs", async () => {
-    await world.startEndpoint("e1", answerSound);
+    await world.startEndpoint("e1", sendSound);
     const router = await world.startRouter();
     expect((await world.call(router)).status).to.equal(503);
     expect(await world.readReadiness(router)).to.equal(503);
@@ -105,12 +105,12 @@
   });
 
   it("repeats an idempotent request that broke off", async () => {
-    configureRoute({ repeatability: Repeatability.Idempotent });
+    applyRoute({ repeatability: Repeatability.Idempotent });
     let isFirst = true;
     const behave: Behaviour = (arrival, response) => {
       const breaks = isFirst;
       isFirst = false;
-      return breaks ? breakOff(arrival) : answerSound(arrival, response);
+      return breaks ? stopConnection(arrival) : sendSound(arrival, response);
     };
     await world.startEndpoint("e1", behave);
     await world.startEndpoint("e2", behave);
@@ -122,23 +122,23 @@
 
   for (const repeatability of KINDS_THAT_RUN_ONCE) {
     it(`sends a request of kind ${repeatability} once, and says unknown`, async () => {
-      configureRoute({ repeatability, attempts: 3 });
-      await world.startEndpoint("e1", breakOff);
-      await world.startEndpoint("e2", breakOff);
+      applyRoute({ repeatability, attempts: 3 });
+      await world.startEndpoint("e1", stopConnection);
+      await world.startEndpoint("e2", stopConnection);
       const router = await world.startReadyRouter();
       expect((await world.call(router)).status).to.equal(502);
       expect(world.arrivals).to.have.lengthOf(1);
     });
 
     it(`sends a request of kind ${repeatability} again that was not run`, async () => {
-      configureRoute({ repeatability, attempts: 1 });
+      applyRoute({ repeatability, attempts: 1 });
       let isFirst = true;
       const behave: Behaviour = (arrival, response) => {
         const refuses = isFirst;
         isFirst = false;
         return refuses
-          ? refuseToRun(arrival, response)
-          : streamUpTo(2, true)(arrival, response);
+          ? sendNotRun(arrival, response)
+          : createStream(2, true)(arrival, response);
       };
       await world.startEndpoint("e1", behave);
       await world.startEndpoint("e2", behave);
@@ -161,8 +161,8 @@
           "content-encoding": "br",
         }).end("recoded") && undefined,
     ];
-    configureRoute({ repeatability: Repeatability.Once });
-    let answer: Behaviour = answerSound;
+    applyRoute({ repeatability: Repeatability.Once });
+    let answer: Behaviour = sendSound;
     await world.startEndpoint(
       "e1",
       (arrival, response) => answer(arrival, response),
@@ -174,7 +174,7 @@
   });
 
   it("takes an answer without a length for whole unless it is reset", async () => {
-    configureRoute({ repeatability: Repeatability.Once });
+    applyRoute({ repeatability: Repeatability.Once });
     let isReset = false;
     await world.startEndpoint("e1", ({ request }) => {
       const head = "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n" +
@@ -195,7 +195,7 @@
   });
 
   it("returns an endpoint's own failure as it is", async () => {
-    configureRoute({ repeatability: Repeatability.Once });
+    applyRoute({ repeatability: Repeatability.Once });
     await world.startEndpoint("e1", ({ request }, response) => {
       const headers = {
         "x-seal": "s",
@@ -210,12 +210,12 @@
   });
 
   it("goes on with a resumable stream in the same answer", async () => {
-    configureRoute({ repeatability: Repeatability.ResumableStream });
+    applyRoute({ repeatability: Repeatability.ResumableStream });
     let isFirst = true;
     const behave: Behaviour = (arrival, response) => {
       const breaks = isFirst;
       isFirst = false;
-      return streamUpTo(breaks ? 3 : 6, !breaks)(arrival, response);
+      return createStream(breaks ? 3 : 6, !breaks)(arrival, response);
     };
     await world.startEndpoint("e1", behave);
     await world.startEndpoint("e2", behave);
@@ -230,9 +230,9 @@
   });
 
   it("cuts a stream visibly that must not be repeated", async () => {
-    configureRoute({ repeatability: Repeatability.Stream });
-    await world.startEndpoint("e1", streamUpTo(3, false));
-    await world.startEndpoint("e2", streamUpTo(3, false));
+    applyRoute({ repeatability: Repeatability.Stream });
+    await world.startEndpoint("e1", createStream(3, false));
+    await world.startEndpoint("e2", createStream(3, false));
     const router = await world.startReadyRouter();
     const result = await world.call(router);
     expect(result.body).to.equal(buildEvents(3));
@@ -241,7 +241,7 @@
   });
 
   it("answers at the route's time-out, and stops the endpoint's work", async () => {
-    configureRoute({ timeoutMilliseconds: 120 });
+    applyRoute({ timeoutMilliseconds: 120 });
     let isStopped = false;
     await world.startEndpoint("e1", ({ request }) => {
       request.socket.once("close", () => isStopped = true);
@@ -270,8 +270,8 @@
 
   it("sends nothing to an endpoint that drains, or whose zone does", async () => {
     world.configure();
-    await world.startEndpoint("e1", answerSound, { zone: "zone-a" });
-    const server = await world.startEndpoint("e2", answerSound, {
+    await world.startEndpoint("e1", sendSound, { zone: "zone-a" });
+    const server = await world.startEndpoint("e2", sendSound, {
       zone: "zone-b",
     });
     const router = await world.startReadyRouter();
@@ -302,7 +302,7 @@
   it("honours no key after it was taken away, and none it cannot vouch for", async () => {
     const open = buildRoute({ pathPrefix: "/open/", isPublic: true });
     world.configure({ routes: [buildRoute(), open] });
-    await world.startEndpoint("e1", answerSound);
+    await world.startEndpoint("e1", sendSound);
     const router = await world.startReadyRouter();
     expect((await world.call(router)).status).to.equal(200);
     world.configure({
@@ -327,7 +327,7 @@
 
   it("lives on a peer's word while the store turns it away", async () => {
     world.configure();
-    await world.startEndpoint("e1", answerSound);
+    await world.startEndpoint("e1", sendSound);
     const first = await world.startReadyRouter();
     const cut = new MemoryFeed();
     cut.put("operator", "other", {});
@@ -346,7 +346,7 @@
     const released = new Promise<void>((resolve) => release = resolve);
     await world.startEndpoint("e1", async (arrival, response) => {
       await released;
-      answerSound(arrival, response);
+      sendSound(arrival, response);
     });
     const router = await world.startReadyRouter();
     const running = world.call(router);
@@ -361,7 +361,7 @@
   });
 
   it("refuses a request that was running when three endpoints crashed", async () => {
-    configureRoute({
+    applyRoute({
       repeatability: Repeatability.Idempotent,
       attempts: 1,
     });
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -3,34 +3,22 @@
 import { ChildAbort, type Clock, type Logger } from "@rattanvane/base";
 import type { SuspectRegistry } from "@rattanvane/limits";
 import type { CrashWatch } from "../beliefs/crash_watch.ts";
-import {
-  type AttemptOutcome,
-  OutcomeKind,
-  type WholeAnswer,
-} from "../model/attempt_outcome.ts";
-import { computeCost, type ForwardedCall } from "../model/call.ts";
+import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
+import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
-import {
-  FinalResult,
-  type ForwardingMetrics,
-} from "../metrics/forwarding_metrics.ts";
+import type { ForwardingMetrics } from "../metrics/forwarding_metrics.ts";
 import type { PrefillModel } from "../scheduling/prefill_model.ts";
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
-import {
-  type Grant,
-  type Refusal,
-  RefusalKind,
-  type ServiceScheduler,
+import type {
+  Grant,
+  ServiceScheduler,
 } from "../scheduling/service_scheduler.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { FinalAnswer, RunProgress } from "./final_answer.ts";
 
-const STATUS_BAD_GATEWAY = 502;
-const STATUS_UNAVAILABLE = 503;
-const STATUS_TIMEOUT = 504;
 /** Sends that did not run are repeated so often beyond the route's attempts. */
 const FREE_RESENDS = 3;
 /** Names a connection that was refused in the reason of a failure. */
@@ -65,17 +53,18 @@
 export class ForwardRun {
   readonly #environment: ForwardEnvironment;
   readonly #options: ForwardRunOptions;
-  readonly #events = new EventSplitter();
+  readonly #progress = new RunProgress();
+  readonly #final: FinalAnswer;
   readonly #avoid = new Set<string>();
-  /** The endpoint's own failure, in case no attempt does better. */
-  #failure: WholeAnswer | undefined;
-  /** Attempts that may have run. */
-  #runs = 0;
-  #sends = 0;
 
   constructor(environment: ForwardEnvironment, options: ForwardRunOptions) {
     this.#environment = environment;
     this.#options = options;
+    this.#final = new FinalAnswer({
+      ...environment,
+      ...options,
+      progress: this.#progress,
+    });
   }
 
   /** Runs until the answer is sent, the time is over or the caller leaves. */
@@ -84,7 +73,10 @@
     const { call } = this.#options;
     const lifetime = new ChildAbort(signal);
     const timer = setTimeout(
-      () => this.#expire(lifetime),
+      () => {
+        lifetime.abort();
+        this.#final.expire();
+      },
       Math.max(0, call.endsAt - clock.now()),
     );
     try {
@@ -101,12 +93,12 @@
     while (!signal.aborted) {
       const verdict = await scheduler.submit(call, this.#avoid, signal);
       if (verdict.refusal !== undefined) {
-        this.#refuse(verdict.refusal);
+        this.#final.refuse(verdict.refusal);
         return;
       }
       const outcome = await this.#attempt(verdict.grant, signal);
       if (!this.#mayGoOn(outcome, verdict.grant)) {
-        this.#conclude(outcome, verdict.grant);
+        this.#final.conclude(outcome, verdict.grant.endpoint);
         return;
       }
     }
@@ -120,13 +112,13 @@
     const { endpoint } = grant;
     const sentAt = this.#environment.clock.now();
     const watched = this.#environment.crashes.watch(endpoint.record.id, call);
-    this.#sends++;
+    this.#progress.sends++;
     const attempt = new AttemptRun({
       ...this.#environment,
       call,
       grant,
       answer,
-      events: this.#events,
+      events: this.#progress.events,
       onAnswering: () => scheduler.markAnswering(grant),
     });
     const outcome = await attempt.run(signal);
@@ -189,12 +181,12 @@
     const left = call.endsAt - clock.now();
     const repeatable = isRepeatable(call, answer.hasBegun);
     const mayRepeat = isNotRun(outcome.kind) ||
-      (repeatable && this.#runs < call.route.attempts);
+      (repeatable && this.#progress.runs < call.route.attempts);
     const isSuspect = suspects.isQuarantined(call.fingerprint);
     if (!mayRepeat || isSuspect || left < LEAST_TIME_FOR_RETRY_MILLISECONDS) {
       return false;
     }
-    if (this.#sends >= call.route.attempts + FREE_RESENDS) {
+    if (this.#progress.sends >= call.route.attempts + FREE_RESENDS) {
       return false;
     }
     if (outcome.kind === OutcomeKind.NotSent) {
@@ -210,12 +202,12 @@
       case OutcomeKind.Stopped:
         return false;
       case OutcomeKind.Failed:
-        this.#failure = outcome.answer;
-        this.#runs++;
+        this.#progress.failure = outcome.answer;
+        this.#progress.runs++;
         return true;
       case OutcomeKind.Broken:
       case OutcomeKind.StreamBroken:
-        this.#runs++;
+        this.#progress.runs++;
         return true;
       case OutcomeKind.NotRun:
       case OutcomeKind.WrongInstance:
@@ -224,110 +216,6 @@
     }
   }
 
-  #conclude(outcome: AttemptOutcome, grant: Grant): void {
-    const { answer } = this.#options;
-    if (outcome.kind === OutcomeKind.Stopped) {
-      return;
-    }
-    if (answer.hasBegun) {
-      this.#concludeStream(outcome);
-      return;
-    }
-    const whole = outcome.answer ?? this.#failure;
-    if (whole !== undefined) {
-      answer.sendWhole(whole);
-      this.#tell(FinalResult.Answered, { status: whole.status });
-      return;
-    }
-    if (this.#runs === 0) {
-      answer.sendOwn({
-        status: STATUS_UNAVAILABLE,
-        reason: "The request has not run; come back later",
-        retryAfterMilliseconds: RETRY_AFTER_FAILURE_MILLISECONDS,
-      });
-      this.#tell(FinalResult.NotRun, { status: STATUS_UNAVAILABLE });
-      return;
-    }
-    answer.sendOwn({
-      status: STATUS_BAD_GATEWAY,
-      reason: "The endpoint gave no whole answer; the request may have run",
-    });
-    this.#tell(FinalResult.Unknown, {
-      status: STATUS_BAD_GATEWAY,
-      endpoint: grant.endpoint.record.id,
-      reason: outcome.reason,
-    });
-  }
-
-  #concludeStream(outcome: AttemptOutcome): void {
-    if (outcome.kind === OutcomeKind.Answered && outcome.answer === undefined) {
-      this.#tell(FinalResult.Answered, { events: this.#events.events });
-      return;
-    }
-    this.#options.answer.cut();
-    this.#tell(FinalResult.StreamCut, {
-      events: this.#events.events,
-      reason: outcome.reason,
-    });
-  }
-
-  #refuse(refusal: Refusal): void {
-    const { answer } = this.#options;
-    if (refusal.kind === RefusalKind.Abandoned) {
-      return;
-    }
-    this.#tell(FinalResult.Refused, {
-      reason: refusal.kind,
-      waitedMilliseconds: Math.round(refusal.waitedMilliseconds),
-      retryAfterMilliseconds: Math.round(refusal.retryAfterMilliseconds),
-      runs: this.#runs,
-    });
-    if (answer.hasBegun) {
-      answer.cut();
-      return;
-    }
-    if (this.#failure !== undefined) {
-      answer.sendWhole(this.#failure);
-      return;
-    }
-    if (this.#runs > 0) {
-      answer.sendOwn({
-        status: STATUS_BAD_GATEWAY,
-        reason: "No endpoint is left to repeat the request; it may have run",
-      });
-      return;
-    }
-    answer.sendOwn({
-      status: STATUS_UNAVAILABLE,
-      reason: `The request has not run: ${refusal.kind}`,
-      retryAfterMilliseconds: refusal.retryAfterMilliseconds,
-    });
-  }
-
-  #expire(lifetime: ChildAbort): void {
-    const { answer } = this.#options;
-    const sends = this.#sends;
-    lifetime.abort();
-    if (answer.isOver) {
-      return;
-    }
-    this.#tell(FinalResult.TimedOut, { sends });
-    if (answer.hasBegun) {
-      answer.cut();
-      return;
-    }
-    if (this.#failure !== undefined) {
-      answer.sendWhole(this.#failure);
-      return;
-    }
-    answer.sendOwn({
-      status: sends === 0 ? STATUS_UNAVAILABLE : STATUS_TIMEOUT,
-      reason: sends === 0
-        ? "The request has not run; its time is over"
-        : "The time is over; the request may have run",
-    });
-  }
-
   #logAttempt(grant: Grant, outcome: AttemptOutcome): void {
     const { call } = this.#options;
     const { endpoint, choice, waitedMilliseconds } = grant;
@@ -352,34 +240,11 @@
       pairs: Number(choice.totalWork.pairs.toFixed(1)),
       running: endpoint.running,
       pace: Number(endpoint.pace.toFixed(2)),
-      events: this.#events.events,
-    });
-  }
-
-  #tell(
-    result: FinalResult,
-    fields: Record<string, string | number | undefined>,
-  ): void {
-    const { call, configurationVersion } = this.#options;
-    const { clock, logger, metrics } = this.#environment;
-    const milliseconds = clock.now() - call.receivedAt;
-    metrics.recordResult(call, { result, milliseconds });
-    logger.info("a request ended", {
-      request: call.identity.request,
-      route: call.route.name,
-      service: call.service,
-      organisation: call.organisation,
-      result,
-      milliseconds: Math.round(milliseconds),
-      configurationVersion,
-      cost: computeCost(call),
-      ...fields,
+      events: this.#progress.events.events,
     });
   }
 }
 
-const RETRY_AFTER_FAILURE_MILLISECONDS = 250;
-
 function isNotRun(kind: OutcomeKind): boolean {
   return kind === OutcomeKind.NotSent || kind === OutcomeKind.NotRun ||
     kind === OutcomeKind.WrongInstance;
--- a/packages/forwarding/src/peers/vm_registry.ts
+++ b/packages/forwarding/src/peers/vm_registry.ts
@@ -2,7 +2,7 @@
 
 import { Buffer } from "node:buffer";
 import { type Clock, describeError, type Logger } from "@rattanvane/base";
-import type { TableFeed } from "@rattanvane/platform";
+import type { FeedRow, TableFeed } from "@rattanvane/platform";
 import type { VmContact, VmId } from "@rattanvane/protocol";
 
 const TABLE = "vms";
@@ -13,8 +13,9 @@
 /** A VM that has not written for so long is gone. */
 const EXPIRY_MILLISECONDS = 30_000;
 
-interface ListedVm {
-  contact: VmContact;
+interface SeenRow {
+  /** Undefined for a row that is no contact. */
+  contact: VmContact | undefined;
   version: number;
   changedAt: number;
 }
@@ -34,7 +35,8 @@
 /** Lists this VM and reads the others. */
 export class VmRegistry {
   readonly #options: VmRegistryOptions;
-  readonly #listed = new Map<VmId, ListedVm>();
+  readonly #rows = new Map<VmId, SeenRow>();
+  readonly #listed = new Set<VmId>();
 
   constructor(options: VmRegistryOptions) {
     this.#options = options;
@@ -42,7 +44,7 @@
 
   /** Other VMs that have written lately. */
   listOthers(): VmId[] {
-    return [...this.#listed.keys()];
+    return [...this.#listed];
   }
 
   /** Writes and reads the list until the signal aborts. */
@@ -109,36 +111,43 @@
         this.#noteRow(row, now);
       }
     }
-    for (const [vm, listed] of this.#listed) {
-      const isExpired = now - listed.changedAt > EXPIRY_MILLISECONDS;
-      if (isExpired || !present.has(vm)) {
-        this.#listed.delete(vm);
-        this.#options.forget(vm);
-        logger.info("a VM is no longer listed", { vm });
-      }
+    for (const vm of this.#rows.keys()) {
+      this.#judgeVm(vm, { isPresent: present.has(vm), now });
     }
   }
 
-  #noteRow(
-    row: { key: string; version: number; value: Uint8Array },
-    now: number,
-  ): void {
-    const known = this.#listed.get(row.key);
-    if (known?.version === row.version) {
+  #noteRow(row: FeedRow, now: number): void {
+    if (this.#rows.get(row.key)?.version === row.version) {
       return;
     }
     const contact = this.#parseContact(row.value);
-    if (contact === undefined) {
-      return;
+    const { version } = row;
+    this.#rows.set(row.key, { contact, version, changedAt: now });
+  }
+
+  #judgeVm(
+    vm: VmId,
+    { isPresent, now }: { isPresent: boolean; now: number },
+  ): void {
+    const row = this.#rows.get(vm);
+    const isLive = isPresent && row?.contact !== undefined &&
+      now - row.changedAt <= EXPIRY_MILLISECONDS;
+    if (!isPresent) {
+      this.#rows.delete(vm);
+    }
+    if (isLive && row?.contact !== undefined) {
+      this.#add(vm, row.contact);
+    } else if (!isLive && this.#listed.delete(vm)) {
+      this.#options.forget(vm);
+      this.#options.logger.info("a VM is no longer listed", { vm });
     }
-    this.#listed.set(row.key, {
-      contact,
-      version: row.version,
-      changedAt: now,
-    });
+  }
+
+  #add(vm: VmId, contact: VmContact): void {
     this.#options.learn(contact);
-    if (known === undefined) {
-      this.#options.logger.info("a VM is listed", { vm: row.key });
+    if (!this.#listed.has(vm)) {
+      this.#listed.add(vm);
+      this.#options.logger.info("a VM is listed", { vm });
     }
   }
 
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -1,6 +1,6 @@
 /** Chooses among model engines, by the time to the first event. */
 
-import { createHash } from "node:crypto";
+import { RendezvousScores } from "@rattanvane/base";
 import type { Prompt } from "../model/call.ts";
 import type { EngineTraits } from "../model/route.ts";
 import {
@@ -10,6 +10,10 @@
   NoRoomReason,
 } from "./endpoint_chooser.ts";
 import type { EndpointState } from "./endpoint_state.ts";
+import {
+  DEFAULT_ENGINE_CHOOSER_SETTINGS,
+  type EngineChooserSettings,
+} from "./engine_chooser_settings.ts";
 import {
   computePairs,
   type PrefillModel,
@@ -22,58 +26,6 @@
 const LEAST_ENGINES_TO_SPLIT = 3;
 /** Ranks the engines for long prompts; no part has this id. */
 const LONG_PART = "long";
-const RANK_BYTES = 6;
-const MAXIMUM_CACHED_RANKS = 50_000;
-
-/** How the chooser weighs what speaks for and against an endpoint. */
-export interface EngineChooserSettings {
-  /** Reading 1,000 tokens of shared parts again counts as so much time. */
-  rereadMilliseconds: number;
-  /** A prompt is long if reading it takes this part of the pause allowed. */
-  longPauseShare: number;
-  /** The part of the engines, one at least, that long prompts go to. */
-  longEngineShare: number;
-  /** What speaks against a short prompt where long ones go. */
-  shortBesideLongMilliseconds: number;
-  /** What speaks against a long prompt, for each stream that it delays. */
-  delayedStreamMilliseconds: number;
-  /** What short prompts together are read for, as a part of that pause. */
-  backlogPauseShare: number;
-  /** The part of the objective that the prediction may take. */
-  objectiveShare: number;
-  /** The part of the objective that others' work may take before any prompt. */
-  leastWaitShare: number;
-  /** The part of the objective that a request waits for its best engine. */
-  patienceShare: number;
-  /** A better engine is waited for if it is better by so much. */
-  worthWaitingMilliseconds: number;
-  /** The part of the slots that is used. */
-  slotShare: number;
-  /** The part of the slots that is used by who is over its share. */
-  spareSlotShare: number;
-  /** An engine that fails everything counts as so much slower. */
-  failureMilliseconds: number;
-  /** An engine that is down, or failed the request, counts as so much slower. */
-  avoidedMilliseconds: number;
-}
-
-/** The settings that fit most fleets. */
-export const DEFAULT_ENGINE_CHOOSER_SETTINGS: EngineChooserSettings = {
-  rereadMilliseconds: 120,
-  longPauseShare: 0.45,
-  longEngineShare: 0.33,
-  shortBesideLongMilliseconds: 250,
-  delayedStreamMilliseconds: 150,
-  backlogPauseShare: 0.55,
-  objectiveShare: 0.9,
-  leastWaitShare: 0.25,
-  patienceShare: 0.55,
-  worthWaitingMilliseconds: 80,
-  slotShare: 0.85,
-  spareSlotShare: 0.4,
-  failureMilliseconds: 2_000,
-  avoidedMilliseconds: 2_000,
-};
 
 interface CostedChoice {
   choice: Choice;
@@ -86,7 +38,7 @@
   readonly #traits: EngineTraits;
   readonly #model: PrefillModel;
   readonly #settings: EngineChooserSettings;
-  readonly #ranks = new Map<string, number>();
+  readonly #ranks = new RendezvousScores();
 
   constructor(
     traits: EngineTraits,
@@ -255,8 +207,8 @@
       return new Set();
     }
     const ranked = [...endpoints].sort((first, second) =>
-      this.#computeRank(LONG_PART, second.record.id) -
-      this.#computeRank(LONG_PART, first.record.id)
+      this.#ranks.compute(LONG_PART, second.record.id) -
+      this.#ranks.compute(LONG_PART, first.record.id)
     );
     return new Set(ranked.slice(0, count));
   }
@@ -272,7 +224,7 @@
     let best: EndpointState | undefined;
     let bestRank = -1;
     for (const endpoint of endpoints) {
-      const rank = this.#computeRank(part.id, endpoint.record.id);
+      const rank = this.#ranks.compute(part.id, endpoint.record.id);
       if (rank > bestRank) {
         best = endpoint;
         bestRank = rank;
@@ -280,21 +232,6 @@
     }
     return best;
   }
-
-  #computeRank(part: string, endpoint: string): number {
-    const key = `${part}\n${endpoint}`;
-    const known = this.#ranks.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    if (this.#ranks.size >= MAXIMUM_CACHED_RANKS) {
-      this.#ranks.clear();
-    }
-    const digest = createHash("sha256").update(key).digest();
-    const rank = digest.readUIntBE(0, RANK_BYTES);
-    this.#ranks.set(key, rank);
-    return rank;
-  }
 }
 
 function describeWork(
--- a/packages/forwarding/src/testing/router_world.ts
+++ b/packages/forwarding/src/testing/router_world.ts
@@ -205,7 +205,7 @@
 }
 
 /** Answers as a sound endpoint does. */
-export function answerSound(
+export function sendSound(
   { endpoint, request }: Arrival,
   response: ServerResponse,
 ): void {
