Give an answer without a length no length of our own

An endpoint that breaks off an answer without a length may close its connection with an ordinary end, so the transport cannot tell it from a whole answer; the router then gave it a length that made it look whole.

Change: such an answer goes to the caller without a length and ends with its connection, as it came. A framed stream that was taken up by an answer without a framed end is broken off rather than ended.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -173,7 +173,7 @@
     }
   });
 
-  it("takes an answer without a length for whole unless it is reset", async () => {
+  it("gives an answer without a length no length, and none that is reset", async () => {
     applyRoute({ repeatability: Repeatability.Once });
     let isReset = false;
     await world.startEndpoint("e1", ({ request }) => {
@@ -188,8 +188,11 @@
       });
     });
     const router = await world.startReadyRouter();
-    expect(await world.call(router))
-      .to.deep.include({ status: 200, body: "a part" });
+    const result = await world.call(router);
+    expect(result).to.deep.include({ status: 200, body: "a part" });
+    expect(result.headers["content-length"]).to.equal(undefined);
+    expect(result.headers["transfer-encoding"]).to.equal(undefined);
+    expect(result.headers["connection"]).to.equal("close");
     isReset = true;
     expect((await world.call(router)).status).to.equal(502);
   });
@@ -229,6 +232,26 @@
     expect(second.request.headers["x-last-event"]).to.equal("3");
   });
 
+  it("does not end a framed stream with one whose end cannot be told", async () => {
+    applyRoute({ repeatability: Repeatability.ResumableStream });
+    let isFirst = true;
+    const behave: Behaviour = (arrival, response) => {
+      if (isFirst) {
+        isFirst = false;
+        return createStream(3, false)(arrival, response);
+      }
+      const head = "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n" +
+        "connection: close\r\n\r\n";
+      arrival.request.socket.end(`${head}id: 4\ndata: 4\n\n`);
+    };
+    await world.startEndpoint("e1", behave);
+    await world.startEndpoint("e2", behave);
+    const router = await world.startReadyRouter();
+    const result = await world.call(router);
+    expect(result.body).to.equal(buildEvents(4));
+    expect(result.isWhole).to.equal(false);
+  });
+
   it("cuts a stream visibly that must not be repeated", async () => {
     applyRoute({ repeatability: Repeatability.Stream });
     await world.startEndpoint("e1", createStream(3, false));
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -7,7 +7,7 @@
 import type { AnswerHeaders, Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
 import type { Grant } from "../scheduling/service_scheduler.ts";
-import type { CallerAnswer } from "./caller_answer.ts";
+import { type CallerAnswer, isFramed } from "./caller_answer.ts";
 import {
   type AnswerControl,
   AnswerReceiver,
@@ -50,6 +50,8 @@
   #headers: AnswerHeaders = {};
   #control: AnswerControl | undefined;
   #isStream = false;
+  /** The caller's answer has the head of this attempt's answer. */
+  #hasBegunStream = false;
   #bytes = 0;
   #firstMilliseconds: number | undefined;
   #lastEventAt = 0;
@@ -172,6 +174,7 @@
     this.#notePause();
     if (!answer.hasBegun) {
       answer.beginStream(this.#status, this.#headers);
+      this.#hasBegunStream = true;
     }
     if (!answer.write(whole)) {
       this.#control?.pause();
@@ -195,6 +198,11 @@
       this.#finish(this.#findBreakKind(), "The stream ended within an event");
       return;
     }
+    const isSameFrame = this.#hasBegunStream || isFramed(this.#headers);
+    if (!isSameFrame) {
+      this.#finish(OutcomeKind.StreamBroken, "The stream has no framed end");
+      return;
+    }
     answer.endStream();
     this.#finish(OutcomeKind.Answered, "");
   }
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -49,7 +49,9 @@
       return;
     }
     const headers = this.#collectHeaders(answer.headers);
-    headers["content-length"] = String(answer.body.length);
+    if (isFramed(answer.headers)) {
+      headers["content-length"] = String(answer.body.length);
+    }
     this.#response.writeHead(answer.status, headers);
     this.#response.end(answer.body);
   }
@@ -107,9 +109,19 @@
         collected[name] = value;
       }
     }
-    if (this.#shouldClose()) {
+    if (!isFramed(headers)) {
+      // Whether it is whole cannot be told, so it must not look whole.
+      this.#response.useChunkedEncodingByDefault = false;
+    }
+    if (this.#shouldClose() || !isFramed(headers)) {
       collected["connection"] = "close";
     }
     return collected;
   }
 }
+
+/** Whether the end of an answer can be told from a broken connection. */
+export function isFramed(headers: AnswerHeaders): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
