Look again at a cold endpoint's room after each grant of a step

One step of a service's scheduler listed the usable endpoints once, so a queue that met a cold endpoint was granted to it whole, past this VM's part of the bound (FAILBACK). Ruled out: counting inside the chooser (each chooser would repeat it). Change: the list is made again after each request that leaves the queue.

--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -189,13 +189,15 @@
 
   /** Grants and refuses what can be decided now; the late come last. */
   #runStep(): void {
-    const endpoints = this.#listUsable();
+    let endpoints = this.#listUsable();
     const now = this.#options.clock.now();
     const onTime = this.#queue.filter(({ startBy }) => startBy > now);
     const late = this.#queue.filter(({ startBy }) => startBy <= now);
     for (const waiting of [...onTime, ...late]) {
       if (this.#decide(waiting, endpoints)) {
         this.#remove(waiting);
+        // A cold endpoint may have had what it bears with this one.
+        endpoints = this.#listUsable();
       }
     }
     this.#scheduleStep();
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -94,6 +94,23 @@
     expect(order).to.deep.equal(["urgent", "usual", "late"]);
   });
 
+  it("keeps to the bound of a cold endpoint that finds a queue", async () => {
+    const { clock, scheduler } = createScheduler();
+    const call = buildCall(clock.now());
+    await runCalls(scheduler, call, 3);
+    let granted = 0;
+    for (let request = 0; request < 20; request++) {
+      void scheduler.submit(call, NOBODY, NEVER).then((verdict) => {
+        granted += isGranted(verdict) ? 1 : 0;
+      });
+    }
+    const record = buildEndpoint("cold");
+    scheduler.updateEndpoint(record, false).cold.markCold(3_000);
+    scheduler.updateEndpoint(record, true);
+    await clock.advance(1);
+    expect(granted).to.equal(10);
+  });
+
   it("refuses at once when no endpoint is left", async () => {
     const { clock, scheduler } = createScheduler();
     scheduler.removeEndpoint("e1");
