Remove what forwarding does not use; read an answer's marks once

Cause: the last read-through found functions that nothing calls, and the marks of a whole answer read twice. Change: isSuccess, SlidingLog.take and EndpointState.ownRunning are gone; an attempt remembers that it was not run; two comments say what they mean. Conclusion: behaviour as before.

--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -19,7 +19,6 @@
 import type { EventSplitter } from "./event_splitter.ts";
 
 const STATUS_OK = 200;
-const STATUS_FIRST_FAILURE = 300;
 const STATUS_SERVER_FAILURE = 500;
 const STATUS_WRONG_INSTANCE = 421;
 /** A whole answer that is longer is no answer of these services. */
@@ -49,6 +48,8 @@
   #status = 0;
   #headers: AnswerHeaders = {};
   #control: AnswerControl | undefined;
+  /** The endpoint says that it did not run the request. */
+  #isNotRun = false;
   #isStream = false;
   /** The caller's answer has the head of this attempt's answer. */
   #hasBegunStream = false;
@@ -91,6 +92,7 @@
     this.#headers = headers;
     this.#control = control;
     const marks = dialect.readMarks(headers);
+    this.#isNotRun = marks.isNotRun;
     if (marks.isNotRun) {
       return;
     }
@@ -208,13 +210,11 @@
   }
 
   #finishWhole(): void {
-    const { dialect } = this.#options;
     const body = Buffer.concat(this.#chunks);
     const answer = { status: this.#status, headers: this.#headers, body };
-    const marks = dialect.readMarks(this.#headers);
     if (this.#status === STATUS_WRONG_INSTANCE) {
       this.#finish(OutcomeKind.WrongInstance, "status 421");
-    } else if (marks.isNotRun) {
+    } else if (this.#isNotRun) {
       this.#finish(OutcomeKind.NotRun, `status ${this.#status}`);
     } else {
       const kind = this.#status >= STATUS_SERVER_FAILURE
@@ -277,8 +277,3 @@
   return repeatability === Repeatability.Stream ||
     repeatability === Repeatability.ResumableStream;
 }
-
-/** Whether a status is a success. */
-export function isSuccess(status: number): boolean {
-  return status >= STATUS_OK && status < STATUS_FIRST_FAILURE;
-}
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -109,11 +109,12 @@
         collected[name] = value;
       }
     }
-    if (!isFramed(headers)) {
+    const hasEnd = isFramed(headers);
+    if (!hasEnd) {
       // Whether it is whole cannot be told, so it must not look whole.
       this.#response.useChunkedEncodingByDefault = false;
     }
-    if (this.#shouldClose() || !isFramed(headers)) {
+    if (!hasEnd || this.#shouldClose()) {
       collected["connection"] = "close";
     }
     return collected;
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -50,11 +50,6 @@
     this.cold = new ColdGuard(clock);
   }
 
-  /** Attempts that this VM has there. */
-  get ownRunning(): number {
-    return this.#attempts.size;
-  }
-
   /** Attempts that all VMs have there, as far as this VM knows. */
   get running(): number {
     let sum = this.#attempts.size;
--- a/packages/forwarding/src/scheduling/share_meter.ts
+++ b/packages/forwarding/src/scheduling/share_meter.ts
@@ -88,13 +88,13 @@
     }
   }
 
-  /** Takes in what a peer measured in its own newest period. */
+  /** Takes in a peer's uses of its own newest period. */
   mergePeer(vm: VmId, uses: readonly OrganisationUse[]): void {
     const receivedAt = this.#options.clock.now();
     this.#peers.set(vm, { receivedAt, uses });
   }
 
-  /** What this VM measured in the newest period. */
+  /** The uses at this VM in the newest period. */
   listLocal(): OrganisationUse[] {
     const uses: OrganisationUse[] = [];
     for (const [organisation, { asked, granted }] of this.#local) {
--- a/packages/forwarding/src/scheduling/sliding_window.ts
+++ b/packages/forwarding/src/scheduling/sliding_window.ts
@@ -60,15 +60,6 @@
     this.#windowMilliseconds = windowMilliseconds;
   }
 
-  /** Notes an event unless there were `most` in the window already. */
-  take(most: number): boolean {
-    if (this.count() >= most) {
-      return false;
-    }
-    this.add();
-    return true;
-  }
-
   add(): void {
     this.#times.push(this.#clock.now());
   }
