Give room at engines by what an organisation has had; pace prompts by pauses

Half of the engines' slots stood empty while organisations over their share were refused, and 41 of 100 requests had shared parts read again.

Ruled out: too few slots (25 of 64 were used); the engines' own evictions (the tokens that the router believed to be missing, 1,326 thousand, came to those read again, 1,271 thousand).

Change: RoomLimits for each ShareStanding in place of spare room and refusal; who is over its share has nothing read again. Work that was sent within the last 300 ms counts against the pause, own and told by peers.

--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -3,6 +3,7 @@
 import type { ForwardedCall } from "../model/call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { PrefillWork } from "./prefill_model.ts";
+import type { ShareStanding } from "./share_meter.ts";
 
 /** Why there is no endpoint for a request now. */
 export enum NoRoomReason {
@@ -34,8 +35,8 @@
   avoid: ReadonlySet<string>;
   /** How much of the objective is left, in milliseconds. */
   remainingMilliseconds: number;
-  /** Only spare capacity may be used. */
-  isSpareOnly: boolean;
+  /** What its organisation has had; who has had more gets less room. */
+  standing: ShareStanding;
 }
 
 /** Chooses among the endpoints of a service. */
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -11,6 +11,8 @@
 const PEER_EXPIRY_MILLISECONDS = 1_000;
 const FAILURE_SMOOTHING = 0.05;
 const PACE_SMOOTHING = 0.08;
+/** What was sent so lately delays the streams that run there now. */
+const RECENT_MILLISECONDS = 300;
 const LEAST_PACE = 0.4;
 const HIGHEST_PACE = 12;
 
@@ -27,6 +29,7 @@
   receivedAt: number;
   running: number;
   prefillTokens: number;
+  recentTokens: number;
 }
 
 /** Counts, health and contents of one endpoint. */
@@ -38,6 +41,8 @@
   isOpen = true;
   readonly #clock: Clock;
   readonly #attempts = new Set<OwnAttempt>();
+  /** Attempts that have begun to answer or ended, and were sent lately. */
+  #recent: OwnAttempt[] = [];
   readonly #peers = new Map<VmId, PeerUse>();
   #failureShare = 0;
   #pace = 1;
@@ -70,6 +75,16 @@
     return { tokens, pairs };
   }
 
+  /** What was sent there lately or still has to be read. */
+  get recentWork(): PrefillWork {
+    let { tokens, pairs } = this.#sumOwnRecent();
+    for (const { recentTokens } of this.#listPeers()) {
+      tokens += recentTokens;
+      pairs += computeLikelyPairs(recentTokens);
+    }
+    return { tokens, pairs };
+  }
+
   /** The part of the newest answers that were failures, 0 to 1. */
   get failureShare(): number {
     return this.#failureShare;
@@ -101,7 +116,20 @@
       attempt.isReading = false;
       this.#ownTokens -= attempt.work.tokens;
       this.#ownPairs -= attempt.work.pairs;
+      this.#recent.push(attempt);
+    }
+  }
+
+  #sumOwnRecent(): PrefillWork {
+    const oldest = this.#clock.now() - RECENT_MILLISECONDS;
+    this.#recent = this.#recent.filter(({ sentAt }) => sentAt > oldest);
+    let tokens = this.#ownTokens;
+    let pairs = this.#ownPairs;
+    for (const { work } of this.#recent) {
+      tokens += work.tokens;
+      pairs += work.pairs;
     }
+    return { tokens, pairs };
   }
 
   /** Notes the end of an attempt. */
@@ -130,20 +158,23 @@
       return;
     }
     const receivedAt = this.#clock.now();
-    const { running, prefillTokens } = use;
-    this.#peers.set(vm, { receivedAt, running, prefillTokens });
+    const { running, prefillTokens, recentTokens } = use;
+    this.#peers.set(vm, { receivedAt, running, prefillTokens, recentTokens });
   }
 
   /** What the peers should know; undefined for nothing. */
   describeUse(): EndpointUse | undefined {
     const downAgeMilliseconds = this.cold.downAgeMilliseconds;
-    if (this.#attempts.size === 0 && downAgeMilliseconds === undefined) {
+    const recentTokens = Math.round(this.#sumOwnRecent().tokens);
+    const isUnused = this.#attempts.size === 0 && recentTokens === 0;
+    if (isUnused && downAgeMilliseconds === undefined) {
       return undefined;
     }
     return {
       endpoint: this.record.id,
       running: this.#attempts.size,
       prefillTokens: Math.round(this.#ownTokens),
+      recentTokens,
       ...(downAgeMilliseconds === undefined ? {} : { downAgeMilliseconds }),
     };
   }
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -20,6 +20,7 @@
   type PrefillWork,
 } from "./prefill_model.ts";
 import { findHomePart } from "./prompt_cache_map.ts";
+import { ShareStanding } from "./share_meter.ts";
 
 const TOKENS_PER_THOUSAND = 1_000;
 /** Fewer engines take all prompts. */
@@ -100,9 +101,9 @@
   }
 
   /** Whether a request may still wait for its best engine. */
-  #isPatient({ call, remainingMilliseconds, isSpareOnly }: ChoiceRequest) {
+  #isPatient({ call, remainingMilliseconds, standing }: ChoiceRequest) {
     const left = remainingMilliseconds / call.route.objectiveMilliseconds;
-    return !isSpareOnly && left > 1 - this.#settings.patienceShare;
+    return !isOverShare(standing) && left > 1 - this.#settings.patienceShare;
   }
 
   #describeChoice(
@@ -136,34 +137,36 @@
 
   #hasRoom(request: ChoiceRequest, choice: Choice): boolean {
     const { endpoint, work, predictedMilliseconds } = choice;
-    const settings = this.#settings;
-    const share = request.isSpareOnly
-      ? settings.spareSlotShare
-      : settings.slotShare;
-    if (endpoint.running >= this.#traits.slots * share) {
+    const room = this.#settings.room[request.standing];
+    const isFull = endpoint.running >= this.#traits.slots * room.slotShare;
+    if (isFull || choice.missingTokens > room.rereadTokens) {
       return false;
     }
     const own = this.#model.predictReading(work) * endpoint.pace;
     const { objectiveMilliseconds } = request.call.route;
-    const leastWait = objectiveMilliseconds * settings.leastWaitShare;
+    const leastWait = objectiveMilliseconds * room.waitShare;
     const allowed = Math.max(
-      request.remainingMilliseconds * settings.objectiveShare - own,
+      request.remainingMilliseconds * this.#settings.objectiveShare - own,
       leastWait,
     );
     const wait = predictedMilliseconds - own;
-    const longest = request.isSpareOnly ? leastWait : allowed;
+    const longest = isOverShare(request.standing) ? leastWait : allowed;
     return wait <= longest && this.#keepsPauses(request, choice);
   }
 
   /** Whether the streams that run there go on without a long pause. */
   #keepsPauses(request: ChoiceRequest, choice: Choice): boolean {
-    const { endpoint, totalWork } = choice;
+    const { endpoint, work } = choice;
     if (this.#isLong(request, choice) || endpoint.running === 0) {
       return true;
     }
-    const { pauseMilliseconds } = request.call.route;
-    const reading = this.#model.predictReading(totalWork) * endpoint.pace;
-    return reading <= pauseMilliseconds * this.#settings.backlogPauseShare;
+    const recent = endpoint.recentWork;
+    const reading = endpoint.pace * this.#model.predictReading({
+      tokens: recent.tokens + work.tokens,
+      pairs: recent.pairs + work.pairs,
+    });
+    const { pauseShare } = this.#settings.room[request.standing];
+    return reading <= request.call.route.pauseMilliseconds * pauseShare;
   }
 
   #isLong(request: ChoiceRequest, { work }: Choice): boolean {
@@ -234,6 +237,10 @@
   }
 }
 
+function isOverShare(standing: ShareStanding): boolean {
+  return standing >= ShareStanding.Over;
+}
+
 function describeWork(
   prompt: Prompt | undefined,
   missingTokens: number,
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -213,10 +213,6 @@
       this.#refuse(waiting, RefusalKind.Expired);
       return true;
     }
-    if (this.#judge(waiting.call) === ShareStanding.FarOver) {
-      this.#refuse(waiting, RefusalKind.OverShare);
-      return true;
-    }
     const request = this.#describeRequest(waiting, now);
     const choice = this.#options.chooser.choose(request, endpoints);
     if (typeof choice === "object") {
@@ -232,7 +228,7 @@
 
   /** Returns whether the request is refused; else it waits on. */
   #refuseHopeless(waiting: Waiting, request: ChoiceRequest): boolean {
-    if (request.isSpareOnly) {
+    if (request.standing >= ShareStanding.Over) {
       this.#refuse(waiting, RefusalKind.OverShare);
       return true;
     }
@@ -259,8 +255,8 @@
 
   #describeRequest(waiting: Waiting, now: number): ChoiceRequest {
     const { call, avoid, startBy } = waiting;
-    const isSpareOnly = this.#judge(call) >= ShareStanding.Over;
-    return { call, avoid, remainingMilliseconds: startBy - now, isSpareOnly };
+    const standing = this.#judge(call);
+    return { call, avoid, remainingMilliseconds: startBy - now, standing };
   }
 
   /** Only prompts are counted against an organisation's share. */
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -96,6 +96,7 @@
   "rows",
   "digest",
   "downAgeMilliseconds",
+  "recentTokens",
 ];
 
 /** Builds the map of names to numbers. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -10,6 +10,8 @@
   running: number;
   /** Prompt tokens of attempts that have not begun to answer. */
   prefillTokens: number;
+  /** These, and the prompt tokens of attempts that were sent just now. */
+  recentTokens: number;
   /** How long ago the endpoint was found to be down; not set for never. */
   downAgeMilliseconds?: number;
 }
