Let room to spare follow how streams fare; long prompts wait for their engine

Change: SpareRoom multiplies the room of those over their share, up with each stream that runs smoothly and down with each that pauses too long. Such requests wait an eighth of their objective for room and are told to return within it. Long prompts go to their engines only, and wait for them where they are owed.

--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -163,6 +163,10 @@
     if (!isTelling) {
       return;
     }
+    this.#options.scheduler.recordPause(grant, {
+      longestMilliseconds: outcome.longestPauseMilliseconds,
+      allowedMilliseconds: this.#options.call.route.pauseMilliseconds,
+    });
     this.#options.model.learn(choice.totalWork, firstMilliseconds);
     endpoint.recordPace(
       firstMilliseconds * endpoint.pace /
@@ -237,6 +241,7 @@
       ownTokens: choice.work.tokens,
       aheadTokens: choice.totalWork.tokens - choice.work.tokens,
       missingTokens: choice.missingTokens,
+      isLong: choice.isLong,
       pairs: Number(choice.totalWork.pairs.toFixed(1)),
       running: endpoint.running,
       pace: Number(endpoint.pace.toFixed(2)),
--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -11,8 +11,8 @@
   NoEndpoint = "noEndpoint",
   /** Every endpoint that could be used has enough to do. */
   Busy = "busy",
-  /** Those that are left are cold and have had what they bear. */
-  Cold = "cold",
+  /** The few endpoints that take long prompts have enough to do. */
+  LongBusy = "longBusy",
 }
 
 /** An endpoint for a request, and what that means for it. */
@@ -26,6 +26,8 @@
   missingTokens: number;
   /** The time to the first event, in milliseconds. */
   predictedMilliseconds: number;
+  /** Reading it alone delays others for about as long as they may pause. */
+  isLong: boolean;
 }
 
 /** How urgently a request needs an endpoint. */
@@ -37,6 +39,8 @@
   remainingMilliseconds: number;
   /** What its organisation has had; who has had more gets less room. */
   standing: ShareStanding;
+  /** By how much the room of those over their share is multiplied. */
+  spareFactor: number;
 }
 
 /** Chooses among the endpoints of a service. */
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -2,7 +2,7 @@
 
 import { RendezvousScores } from "@rattanvane/base";
 import type { Prompt } from "../model/call.ts";
-import type { EngineTraits } from "../model/route.ts";
+import type { EngineTraits, ForwardingRoute } from "../model/route.ts";
 import {
   type Choice,
   type ChoiceRequest,
@@ -13,6 +13,7 @@
 import {
   DEFAULT_ENGINE_CHOOSER_SETTINGS,
   type EngineChooserSettings,
+  type RoomLimits,
 } from "./engine_chooser_settings.ts";
 import {
   computePairs,
@@ -61,7 +62,14 @@
     }
     const best = this.#pick(request, endpoints, () => true);
     if (best === undefined || this.#hasRoom(request, best.choice)) {
-      return best?.choice ?? NoRoomReason.Busy;
+      return best?.choice ?? NoRoomReason.LongBusy;
+    }
+    if (best.choice.isLong) {
+      return this.#pick(
+        request,
+        endpoints,
+        (choice) => this.#hasRoom(request, choice),
+      )?.choice ?? NoRoomReason.LongBusy;
     }
     const other = this.#pick(
       request,
@@ -89,7 +97,9 @@
     let best: CostedChoice | undefined;
     for (const endpoint of endpoints) {
       const choice = this.#describeChoice(request, endpoint, home);
-      if (!isUsable(choice)) {
+      const isForOthers = longEngines.size > 0 &&
+        !longEngines.has(endpoint) && choice.isLong;
+      if (isForOthers || !isUsable(choice)) {
         continue;
       }
       const cost = this.#computeCost(request, choice, longEngines);
@@ -124,7 +134,14 @@
     const predictedMilliseconds = endpoint.pace *
       (this.#model.overheadMilliseconds +
         this.#model.predictReading(totalWork));
-    return { endpoint, work, totalWork, missingTokens, predictedMilliseconds };
+    return {
+      endpoint,
+      work,
+      totalWork,
+      missingTokens,
+      predictedMilliseconds,
+      isLong: this.#isLong(call.route, work),
+    };
   }
 
   /** The home is taken to keep what peers have sent there. */
@@ -137,13 +154,19 @@
 
   #hasRoom(request: ChoiceRequest, choice: Choice): boolean {
     const { endpoint, work, predictedMilliseconds } = choice;
-    const room = this.#settings.room[request.standing];
-    const isFull = endpoint.running >= this.#traits.slots * room.slotShare;
-    if (isFull || choice.missingTokens > room.rereadTokens) {
+    const room = this.#findRoom(request);
+    if (endpoint.running >= this.#traits.slots * room.slotShare) {
       return false;
     }
     const own = this.#model.predictReading(work) * endpoint.pace;
     const { objectiveMilliseconds } = request.call.route;
+    if (choice.isLong) {
+      return predictedMilliseconds - own <=
+        objectiveMilliseconds * this.#settings.longWaitShare;
+    }
+    if (choice.missingTokens > room.rereadTokens) {
+      return false;
+    }
     const leastWait = objectiveMilliseconds * room.waitShare;
     const allowed = Math.max(
       request.remainingMilliseconds * this.#settings.objectiveShare - own,
@@ -154,10 +177,22 @@
     return wait <= longest && this.#keepsPauses(request, choice);
   }
 
+  /** The room of those over their share follows how streams fare. */
+  #findRoom({ standing, spareFactor }: ChoiceRequest): RoomLimits {
+    const room = this.#settings.room[standing];
+    return isOverShare(standing)
+      ? {
+        ...room,
+        slotShare: room.slotShare * spareFactor,
+        pauseShare: room.pauseShare * spareFactor,
+      }
+      : room;
+  }
+
   /** Whether the streams that run there go on without a long pause. */
   #keepsPauses(request: ChoiceRequest, choice: Choice): boolean {
     const { endpoint, work } = choice;
-    if (this.#isLong(request, choice) || endpoint.running === 0) {
+    if (endpoint.running === 0) {
       return true;
     }
     const recent = endpoint.recentWork;
@@ -165,12 +200,11 @@
       tokens: recent.tokens + work.tokens,
       pairs: recent.pairs + work.pairs,
     });
-    const { pauseShare } = this.#settings.room[request.standing];
+    const { pauseShare } = this.#findRoom(request);
     return reading <= request.call.route.pauseMilliseconds * pauseShare;
   }
 
-  #isLong(request: ChoiceRequest, { work }: Choice): boolean {
-    const { pauseMilliseconds } = request.call.route;
+  #isLong({ pauseMilliseconds }: ForwardingRoute, work: PrefillWork): boolean {
     return this.#model.predictReading(work) >
       pauseMilliseconds * this.#settings.longPauseShare;
   }
@@ -188,7 +222,7 @@
     const isAvoided = request.avoid.has(endpoint.record.id) ||
       endpoint.cold.isDown;
     const avoided = isAvoided ? settings.avoidedMilliseconds : 0;
-    const isLong = this.#isLong(request, choice);
+    const { isLong } = choice;
     const delayed = isLong && !longEngines.has(endpoint)
       ? endpoint.running * settings.delayedStreamMilliseconds
       : 0;
--- a/packages/forwarding/src/scheduling/engine_chooser_settings.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_settings.ts
@@ -22,6 +22,8 @@
   longPauseShare: number;
   /** The part of the engines, one at least, that long prompts go to. */
   longEngineShare: number;
+  /** The part of the objective that others' work may take before a long one. */
+  longWaitShare: number;
   /** What speaks against a short prompt where long ones go. */
   shortBesideLongMilliseconds: number;
   /** What speaks against a long prompt, for each stream that it delays. */
@@ -52,20 +54,21 @@
   rereadMilliseconds: 120,
   longPauseShare: 0.7,
   longEngineShare: 0.17,
+  longWaitShare: 0.25,
   shortBesideLongMilliseconds: 250,
   delayedStreamMilliseconds: 150,
   room: {
     [ShareStanding.Low]: OWED_ROOM,
     [ShareStanding.Within]: OWED_ROOM,
     [ShareStanding.Over]: {
-      slotShare: 0.45,
-      pauseShare: 0.45,
+      slotShare: 0.6,
+      pauseShare: 0.55,
       waitShare: 0.25,
       rereadTokens: 300,
     },
     [ShareStanding.FarOver]: {
-      slotShare: 0.25,
-      pauseShare: 0.25,
+      slotShare: 0.4,
+      pauseShare: 0.4,
       waitShare: 0.15,
       rereadTokens: 300,
     },
--- a/packages/forwarding/src/scheduling/plain_chooser.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser.ts
@@ -64,5 +64,6 @@
     totalWork: NO_WORK,
     missingTokens: 0,
     predictedMilliseconds: 0,
+    isLong: false,
   };
 }
--- a/packages/forwarding/src/scheduling/plain_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser_test.ts
@@ -22,6 +22,7 @@
     avoid: new Set(avoid),
     remainingMilliseconds: 300,
     standing: ShareStanding.Low,
+    spareFactor: 1,
   };
 }
 
--- a/packages/forwarding/src/scheduling/refusal_policy.ts
+++ b/packages/forwarding/src/scheduling/refusal_policy.ts
@@ -12,8 +12,12 @@
 const LONGEST_WAIT_SHARE = 0.08;
 const LEAST_RETRY_AFTER_MILLISECONDS = 250;
 const LONGEST_RETRY_AFTER_MILLISECONDS = 2_000;
-/** Long enough for some of the share to come free. */
-const SHARE_RETRY_AFTER_MILLISECONDS = 800;
+/** The part of its time that a long prompt waits for its few engines. */
+const LONGEST_LONG_WAIT_SHARE = 0.2;
+/** The part of the objective that a request waits for room to spare. */
+const LONGEST_SPARE_WAIT_SHARE = 0.12;
+/** When to come back for room to spare, as a part of the objective. */
+const SPARE_RETRY_AFTER_SHARE = 0.35;
 const SPREAD_SHARE = 0.5;
 
 /** A request that waits and has no endpoint. */
@@ -61,9 +65,33 @@
     return Math.min(LONGEST_RETRY_AFTER_MILLISECONDS, wait) * this.#spread();
   }
 
-  /** When an organisation that is over its share should come back. */
-  computeShareRetryAfter(): number {
-    return SHARE_RETRY_AFTER_MILLISECONDS * this.#spread();
+  /**
+   * Whether a long prompt should be refused. Its answer is wanted late too, and
+   * it takes nothing from the others while it waits.
+   */
+  isHopelessForLong(situation: WaitSituation): boolean {
+    const { waitedMilliseconds, leftMilliseconds, late } = situation;
+    const wholeMilliseconds = waitedMilliseconds + leftMilliseconds;
+    return late > LEAST_QUEUE ||
+      waitedMilliseconds > wholeMilliseconds * LONGEST_LONG_WAIT_SHARE;
+  }
+
+  /** Whether a request has waited long enough for room to spare. */
+  hasWaitedForSpare(
+    waitedMilliseconds: number,
+    objectiveMilliseconds: number,
+  ): boolean {
+    return waitedMilliseconds >=
+      objectiveMilliseconds * LONGEST_SPARE_WAIT_SHARE;
+  }
+
+  /**
+   * When the request of an organisation that is over its share should come
+   * back, in milliseconds: room to spare comes and goes, so early enough for
+   * its objective.
+   */
+  computeSpareRetryAfter(objectiveMilliseconds: number): number {
+    return objectiveMilliseconds * SPARE_RETRY_AFTER_SHARE * this.#spread();
   }
 
   #spread(): number {
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -20,6 +20,7 @@
 import { EndpointState, type OwnAttempt } from "./endpoint_state.ts";
 import { RefusalPolicy } from "./refusal_policy.ts";
 import { type ShareMeter, ShareStanding } from "./share_meter.ts";
+import { SpareRoom } from "./spare_room.ts";
 
 const STEP_MILLISECONDS = 10;
 /** Peers should know of such a prompt before they choose an engine. */
@@ -33,6 +34,12 @@
   waitedMilliseconds: number;
 }
 
+/** How long a stream stood still, against what it may. */
+export interface StreamPause {
+  longestMilliseconds: number;
+  allowedMilliseconds: number;
+}
+
 /** Why a request is not sent. */
 export enum RefusalKind {
   NoEndpoint = "noEndpoint",
@@ -90,6 +97,7 @@
   readonly #options: ServiceSchedulerOptions;
   readonly #endpoints = new Map<string, EndpointState>();
   readonly #refusals: RefusalPolicy;
+  readonly #spareRoom = new SpareRoom();
   #queue: Waiting[] = [];
   #timer: ReturnType<typeof setTimeout> | undefined;
 
@@ -148,6 +156,15 @@
     this.#runStep();
   }
 
+  /** Notes the longest pause of a stream; those of long prompts don't count. */
+  recordPause({ choice }: Grant, pause: StreamPause): void {
+    if (!choice.isLong) {
+      this.#spareRoom.recordStream(
+        pause.longestMilliseconds > pause.allowedMilliseconds,
+      );
+    }
+  }
+
   /** Takes in an endpoint's registration. */
   updateEndpoint(record: EndpointRecord, isOpen: boolean): EndpointState {
     const known = this.#endpoints.get(record.id);
@@ -223,16 +240,39 @@
       this.#refuse(waiting, RefusalKind.NoEndpoint);
       return true;
     }
-    return this.#refuseHopeless(waiting, request);
+    const isOwed = request.standing < ShareStanding.Over;
+    return choice === NoRoomReason.LongBusy && isOwed
+      ? this.#refuseHopelessLong(waiting, now)
+      : this.#refuseHopeless(waiting, request);
+  }
+
+  /** Returns whether the request is refused; else it waits on. */
+  #refuseHopelessLong(waiting: Waiting, now: number): boolean {
+    const isHopeless = this.#refusals.isHopelessForLong({
+      waitedMilliseconds: now - waiting.since,
+      leftMilliseconds: waiting.call.endsAt - now,
+      late: this.#countLate(now),
+    });
+    if (isHopeless) {
+      this.#refuse(waiting, RefusalKind.Overload);
+    }
+    return isHopeless;
   }
 
   /** Returns whether the request is refused; else it waits on. */
   #refuseHopeless(waiting: Waiting, request: ChoiceRequest): boolean {
+    const now = this.#options.clock.now();
+    const { objectiveMilliseconds } = waiting.call.route;
     if (request.standing >= ShareStanding.Over) {
-      this.#refuse(waiting, RefusalKind.OverShare);
-      return true;
+      const isOver = this.#refusals.hasWaitedForSpare(
+        now - waiting.since,
+        objectiveMilliseconds,
+      );
+      if (isOver) {
+        this.#refuse(waiting, RefusalKind.OverShare);
+      }
+      return isOver;
     }
-    const now = this.#options.clock.now();
     const isLate = request.remainingMilliseconds <= 0;
     const isHopeless = this.#refusals.isHopeless({
       waitedMilliseconds: now - waiting.since,
@@ -256,7 +296,9 @@
   #describeRequest(waiting: Waiting, now: number): ChoiceRequest {
     const { call, avoid, startBy } = waiting;
     const standing = this.#judge(call);
-    return { call, avoid, remainingMilliseconds: startBy - now, standing };
+    const remainingMilliseconds = startBy - now;
+    const spareFactor = this.#spareRoom.factor;
+    return { call, avoid, remainingMilliseconds, standing, spareFactor };
   }
 
   /** Only prompts are counted against an organisation's share. */
@@ -309,7 +351,9 @@
   #refuse(waiting: Waiting, kind: RefusalKind): void {
     const waitedMilliseconds = this.#options.clock.now() - waiting.since;
     const retryAfterMilliseconds = kind === RefusalKind.OverShare
-      ? this.#refusals.computeShareRetryAfter()
+      ? this.#refusals.computeSpareRetryAfter(
+        waiting.call.route.objectiveMilliseconds,
+      )
       : this.#refusals.computeRetryAfter(this.#queue.length);
     waiting.verdict.resolve({
       refusal: { kind, retryAfterMilliseconds, waitedMilliseconds },
