--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -18,6 +18,7 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
 import { FinalAnswer, RunProgress } from "./final_answer.ts";
+import { type MovedRun, Relocation } from "./relocation.ts";
 
 /** Sends that did not run are repeated so often beyond the route's attempts. */
 const FREE_RESENDS = 3;
@@ -49,6 +50,19 @@
   configurationVersion: number;
 }
 
+/** How an attempt ended, and where its run goes on. */
+interface EndedAttempt {
+  outcome: AttemptOutcome;
+  grant: Grant;
+  moved: MovedRun | undefined;
+}
+
+interface AttemptContext {
+  signal: AbortSignal;
+  /** The run that the attempt goes on with; undefined for a new run. */
+  moved: MovedRun | undefined;
+}
+
 /** Serves one request; its caller gets exactly one final answer. */
 export class ForwardRun {
   readonly #environment: ForwardEnvironment;
@@ -96,18 +110,44 @@
         this.#final.refuse(verdict.refusal);
         return;
       }
-      const outcome = await this.#attempt(verdict.grant, signal);
-      if (!this.#mayGoOn(outcome, verdict.grant)) {
-        this.#final.conclude(outcome, verdict.grant.endpoint);
+      const { outcome, grant } = await this.#runGranted(verdict.grant, signal);
+      if (!this.#mayGoOn(outcome, grant)) {
+        this.#final.conclude(outcome, grant.endpoint);
         return;
       }
     }
   }
 
+  /** Runs a request to the end of its run, wherever that is moved. */
+  async #runGranted(first: Grant, signal: AbortSignal): Promise<EndedAttempt> {
+    let ended = await this.#attempt(first, { signal, moved: undefined });
+    while (ended.moved !== undefined) {
+      ended = await this.#takeUp(ended.moved, signal);
+    }
+    return ended;
+  }
+
+  /** Goes on with a run that was stopped; its memory is used at most once. */
+  async #takeUp(moved: MovedRun, signal: AbortSignal): Promise<EndedAttempt> {
+    const grant = this.#options.scheduler.grantMoved(moved.target);
+    const ended = await this.#attempt(grant, { signal, moved });
+    const isUntouched = isNotRun(ended.outcome.kind) && !signal.aborted;
+    const mayReturn = moved.target !== moved.source && moved.source.isOpen;
+    if (!isUntouched) {
+      return ended;
+    }
+    if (mayReturn) {
+      return await this.#takeUp({ ...moved, target: moved.source }, signal);
+    }
+    // The run itself has begun, though it cannot go on.
+    const outcome = { ...ended.outcome, kind: OutcomeKind.StreamBroken };
+    return { ...ended, outcome };
+  }
+
   async #attempt(
     grant: Grant,
-    signal: AbortSignal,
-  ): Promise<AttemptOutcome> {
+    { signal, moved: resumed }: AttemptContext,
+  ): Promise<EndedAttempt> {
     const { call, answer, scheduler } = this.#options;
     const { endpoint } = grant;
     const sentAt = this.#environment.clock.now();
@@ -119,15 +159,45 @@
       grant,
       answer,
       events: this.#progress.events,
-      onAnswering: () => scheduler.markAnswering(grant),
+      memory: resumed?.memory,
+      onAnswering: () => {
+        scheduler.markAnswering(grant);
+        this.#startMove(relocation, grant, signal);
+      },
+    });
+    const relocation = new Relocation({
+      ...this.#environment,
+      request: call.identity.request,
+      source: endpoint,
+      onMoved: () => attempt.leaveMoved(),
     });
-    const outcome = await attempt.run(signal);
+    const ended = await attempt.run(signal);
+    const moved = await relocation.settle(ended.kind);
+    const outcome = moved === undefined
+      ? ended
+      : { ...ended, kind: OutcomeKind.Moved };
     this.#environment.crashes.settle(watched, outcome.kind);
     this.#noteEndpoint(grant, outcome, sentAt);
-    this.#learnPace(grant, outcome);
+    if (resumed === undefined) {
+      this.#learnPace(grant, outcome);
+    }
     scheduler.release(grant);
     this.#logAttempt(grant, outcome);
-    return outcome;
+    return { outcome, grant, moved };
+  }
+
+  /** Has a run moved that would be stopped by what its endpoint reads next. */
+  #startMove(
+    relocation: Relocation,
+    grant: Grant,
+    signal: AbortSignal,
+  ): void {
+    const { call, scheduler, retries } = this.#options;
+    const isNamed = call.identity.request !== "" && isStreamed(call);
+    const target = isNamed ? scheduler.findDestination(grant) : undefined;
+    if (target !== undefined && retries.take(this.#environment.countVms())) {
+      relocation.start(target, signal);
+    }
   }
 
   #noteEndpoint(grant: Grant, outcome: AttemptOutcome, sentAt: number): void {
@@ -143,6 +213,7 @@
       case OutcomeKind.Stopped:
         return;
       case OutcomeKind.Answered:
+      case OutcomeKind.Moved:
       case OutcomeKind.NotRun:
       case OutcomeKind.Failed:
         endpoint.cold.markAnswer(sentAt, scheduler.coldBound);
@@ -151,7 +222,9 @@
       case OutcomeKind.StreamBroken:
         break;
     }
-    endpoint.recordOutcome(outcome.kind !== OutcomeKind.Answered);
+    const isSound = outcome.kind === OutcomeKind.Answered ||
+      outcome.kind === OutcomeKind.Moved;
+    endpoint.recordOutcome(!isSound);
   }
 
   #learnPace(grant: Grant, outcome: AttemptOutcome): void {
@@ -203,6 +276,7 @@
   #countRun(outcome: AttemptOutcome): boolean {
     switch (outcome.kind) {
       case OutcomeKind.Answered:
+      case OutcomeKind.Moved:
       case OutcomeKind.Stopped:
         return false;
       case OutcomeKind.Failed:
--- a/packages/forwarding/src/model/attempt_outcome.ts
+++ b/packages/forwarding/src/model/attempt_outcome.ts
@@ -25,6 +25,8 @@
   Broken = "broken",
   /** A stream broke off after its first event. */
   StreamBroken = "streamBroken",
+  /** The run was stopped to go on at another endpoint. */
+  Moved = "moved",
   /** The caller left, or the time is over. */
   Stopped = "stopped",
 }
