--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -4,7 +4,7 @@
 import { type Clock, Deferred } from "@rattanvane/base";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
-import type { AnswerHeaders, Dialect, KeptMemory } from "../model/dialect.ts";
+import type { AnswerHeaders, Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
 import type { Grant } from "../scheduling/service_scheduler.ts";
 import { type CallerAnswer, isFramed } from "./caller_answer.ts";
@@ -34,8 +34,6 @@
   answer: CallerAnswer;
   /** The whole events of a stream so far. */
   events: EventSplitter;
-  /** What the run goes on from; undefined for a new run. */
-  memory: KeptMemory | undefined;
   /** Called when the endpoint begins to answer. */
   onAnswering: () => void;
 }
@@ -84,12 +82,6 @@
     }
   }
 
-  /** Leaves a run that its endpoint has stopped to go on elsewhere. */
-  leaveMoved(): void {
-    this.#sent?.cancel();
-    this.#finish(OutcomeKind.Moved, "the run was moved");
-  }
-
   override begin(
     status: number,
     headers: AnswerHeaders,
@@ -158,18 +150,17 @@
 
   #send(): void {
     const { call, grant, dialect, transport, clock, events } = this.#options;
-    const { memory } = this.#options;
     const { record } = grant.endpoint;
     const headers = dialect.buildHeaders(call.rawHeaders, {
       endpoint: record.id,
       organisation: call.organisation,
       deadlineMilliseconds: Math.max(1, Math.floor(call.endsAt - clock.now())),
       lastEvent: events.lastEvent === "" ? undefined : events.lastEvent,
-      memory,
     });
     const { method, target, body } = call;
+    const address = `${record.host}:${record.port}`;
     this.#sent = transport.send(
-      grant.endpoint.address,
+      address,
       { method, target, headers, body },
       this,
     );
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -6,13 +6,22 @@
   createConnector,
 } from "@rattanvane/platform";
 import { type buildConnector, type Dispatcher, Pool } from "undici";
-import type { AnswerHeaders, EndpointRequest } from "../model/dialect.ts";
+import type { AnswerHeaders } from "../model/dialect.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 /** The endpoint's own idle time-out is undercut by this. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 
+/** What is sent to an endpoint. */
+export interface AttemptContent {
+  method: string;
+  target: string;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Uint8Array;
+}
+
 /** How an attempt broke. */
 export enum BreakKind {
   /** Nothing was sent. */
@@ -74,7 +83,7 @@
   /** Sends an attempt; the receiver hears of its end exactly once. */
   send(
     address: string,
-    content: EndpointRequest,
+    content: AttemptContent,
     receiver: AnswerReceiver,
   ): SentAttempt {
     const handler = new AnswerHandler(receiver, this.#mark);
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -18,7 +18,6 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
 import { FinalAnswer, RunProgress } from "./final_answer.ts";
-import { type MovedRun, Relocation } from "./relocation.ts";
 
 /** Sends that did not run are repeated so often beyond the route's attempts. */
 const FREE_RESENDS = 3;
@@ -50,19 +49,6 @@
   configurationVersion: number;
 }
 
-/** How an attempt ended, and where its run goes on. */
-interface EndedAttempt {
-  outcome: AttemptOutcome;
-  grant: Grant;
-  moved: MovedRun | undefined;
-}
-
-interface AttemptContext {
-  signal: AbortSignal;
-  /** The run that the attempt goes on with; undefined for a new run. */
-  moved: MovedRun | undefined;
-}
-
 /** Serves one request; its caller gets exactly one final answer. */
 export class ForwardRun {
   readonly #environment: ForwardEnvironment;
@@ -110,44 +96,18 @@
         this.#final.refuse(verdict.refusal);
         return;
       }
-      const { outcome, grant } = await this.#runGranted(verdict.grant, signal);
-      if (!this.#mayGoOn(outcome, grant)) {
-        this.#final.conclude(outcome, grant.endpoint);
+      const outcome = await this.#attempt(verdict.grant, signal);
+      if (!this.#mayGoOn(outcome, verdict.grant)) {
+        this.#final.conclude(outcome, verdict.grant.endpoint);
         return;
       }
     }
   }
 
-  /** Runs a request to the end of its run, wherever that is moved. */
-  async #runGranted(first: Grant, signal: AbortSignal): Promise<EndedAttempt> {
-    let ended = await this.#attempt(first, { signal, moved: undefined });
-    while (ended.moved !== undefined) {
-      ended = await this.#takeUp(ended.moved, signal);
-    }
-    return ended;
-  }
-
-  /** Goes on with a run that was stopped; its memory is used at most once. */
-  async #takeUp(moved: MovedRun, signal: AbortSignal): Promise<EndedAttempt> {
-    const grant = this.#options.scheduler.grantMoved(moved.target);
-    const ended = await this.#attempt(grant, { signal, moved });
-    const isUntouched = isNotRun(ended.outcome.kind) && !signal.aborted;
-    const mayReturn = moved.target !== moved.source && moved.source.isOpen;
-    if (!isUntouched) {
-      return ended;
-    }
-    if (mayReturn) {
-      return await this.#takeUp({ ...moved, target: moved.source }, signal);
-    }
-    // The run itself has begun, though it cannot go on.
-    const outcome = { ...ended.outcome, kind: OutcomeKind.StreamBroken };
-    return { ...ended, outcome };
-  }
-
   async #attempt(
     grant: Grant,
-    { signal, moved: resumed }: AttemptContext,
-  ): Promise<EndedAttempt> {
+    signal: AbortSignal,
+  ): Promise<AttemptOutcome> {
     const { call, answer, scheduler } = this.#options;
     const { endpoint } = grant;
     const sentAt = this.#environment.clock.now();
@@ -159,45 +119,15 @@
       grant,
       answer,
       events: this.#progress.events,
-      memory: resumed?.memory,
-      onAnswering: () => {
-        scheduler.markAnswering(grant);
-        this.#startMove(relocation, grant, signal);
-      },
-    });
-    const relocation = new Relocation({
-      ...this.#environment,
-      request: call.identity.request,
-      source: endpoint,
-      onMoved: () => attempt.leaveMoved(),
+      onAnswering: () => scheduler.markAnswering(grant),
     });
-    const ended = await attempt.run(signal);
-    const moved = await relocation.settle(ended.kind);
-    const outcome = moved === undefined
-      ? ended
-      : { ...ended, kind: OutcomeKind.Moved };
+    const outcome = await attempt.run(signal);
     this.#environment.crashes.settle(watched, outcome.kind);
     this.#noteEndpoint(grant, outcome, sentAt);
-    if (resumed === undefined) {
-      this.#learnPace(grant, outcome);
-    }
+    this.#learnPace(grant, outcome);
     scheduler.release(grant);
     this.#logAttempt(grant, outcome);
-    return { outcome, grant, moved };
-  }
-
-  /** Has a run moved that would be stopped by what its endpoint reads next. */
-  #startMove(
-    relocation: Relocation,
-    grant: Grant,
-    signal: AbortSignal,
-  ): void {
-    const { call, scheduler, retries } = this.#options;
-    const isNamed = call.identity.request !== "" && isStreamed(call);
-    const target = isNamed ? scheduler.findDestination(grant) : undefined;
-    if (target !== undefined && retries.take(this.#environment.countVms())) {
-      relocation.start(target, signal);
-    }
+    return outcome;
   }
 
   #noteEndpoint(grant: Grant, outcome: AttemptOutcome, sentAt: number): void {
@@ -213,7 +143,6 @@
       case OutcomeKind.Stopped:
         return;
       case OutcomeKind.Answered:
-      case OutcomeKind.Moved:
       case OutcomeKind.NotRun:
       case OutcomeKind.Failed:
         endpoint.cold.markAnswer(sentAt, scheduler.coldBound);
@@ -222,9 +151,7 @@
       case OutcomeKind.StreamBroken:
         break;
     }
-    const isSound = outcome.kind === OutcomeKind.Answered ||
-      outcome.kind === OutcomeKind.Moved;
-    endpoint.recordOutcome(!isSound);
+    endpoint.recordOutcome(outcome.kind !== OutcomeKind.Answered);
   }
 
   #learnPace(grant: Grant, outcome: AttemptOutcome): void {
@@ -276,7 +203,6 @@
   #countRun(outcome: AttemptOutcome): boolean {
     switch (outcome.kind) {
       case OutcomeKind.Answered:
-      case OutcomeKind.Moved:
       case OutcomeKind.Stopped:
         return false;
       case OutcomeKind.Failed:
--- a/packages/forwarding/src/mod.ts
+++ b/packages/forwarding/src/mod.ts
@@ -17,8 +17,6 @@
   type AttemptHeaders,
   Dialect,
   type EndpointLoadMarks,
-  type EndpointRequest,
-  type MoveAnswer,
 } from "./model/dialect.ts";
 export { EndpointPhase, type EndpointRecord } from "./model/endpoint_record.ts";
 export {
--- a/packages/forwarding/src/model/attempt_outcome.ts
+++ b/packages/forwarding/src/model/attempt_outcome.ts
@@ -25,8 +25,6 @@
   Broken = "broken",
   /** A stream broke off after its first event. */
   StreamBroken = "streamBroken",
-  /** The run was stopped to go on at another endpoint. */
-  Moved = "moved",
   /** The caller left, or the time is over. */
   Stopped = "stopped",
 }
--- a/packages/forwarding/src/model/dialect.ts
+++ b/packages/forwarding/src/model/dialect.ts
@@ -6,29 +6,6 @@
 /** The headers of an answer, lower-case names. */
 export type AnswerHeaders = Record<string, string | string[] | undefined>;
 
-/** What is sent to an endpoint. */
-export interface EndpointRequest {
-  method: string;
-  target: string;
-  /** Names and values in turn. */
-  headers: string[];
-  body: Uint8Array;
-}
-
-/** The memory of a run that was stopped, at the endpoint that stopped it. */
-export interface KeptMemory {
-  /** Host and port. */
-  address: string;
-  handle: string;
-}
-
-/** What an endpoint answers to the order to move a run. */
-export interface MoveAnswer {
-  handle: string;
-  /** Another endpoint has a copy; else only the one that stopped the run. */
-  isCopied: boolean;
-}
-
 /** What the router sets on a request to an endpoint. */
 export interface AttemptHeaders {
   endpoint: string;
@@ -36,8 +13,6 @@
   deadlineMilliseconds: number;
   /** Goes on after this event; undefined leaves what the caller sent. */
   lastEvent: string | undefined;
-  /** Goes on from this memory; undefined for a new run. */
-  memory?: KeptMemory | undefined;
 }
 
 /** The requests that an endpoint says it has. */
@@ -70,13 +45,4 @@
   ): string[];
 
   abstract readMarks(headers: AnswerHeaders): AnswerMarks;
-
-  /** Builds the order to stop a run and copy its memory to an address. */
-  abstract buildMove(request: string, destination: string): EndpointRequest;
-
-  /** Reads the answer to that order; undefined when the run goes on. */
-  abstract readMove(status: number, body: Uint8Array): MoveAnswer | undefined;
-
-  /** Builds the order to give up the memory of a run that was stopped. */
-  abstract buildMemoryRelease(handle: string): EndpointRequest;
 }
--- a/packages/forwarding/src/model/route.ts
+++ b/packages/forwarding/src/model/route.ts
@@ -64,8 +64,6 @@
   slots: number;
   /** The tokens that running requests and kept prompt parts share. */
   memoryTokens: number;
-  /** Whether a run can be moved to another endpoint with its memory. */
-  canMoveRuns: boolean;
 }
 
 /** An organisation that calls forwarding routes. */
--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -5,8 +5,6 @@
 import type { PrefillWork } from "./prefill_model.ts";
 import type { ShareStanding } from "./share_meter.ts";
 
-const NO_WORK: PrefillWork = { tokens: 0, pairs: 0 };
-
 /** Why there is no endpoint for a request now. */
 export enum NoRoomReason {
   /** No endpoint takes requests at all. */
@@ -32,18 +30,6 @@
   isLong: boolean;
 }
 
-/** A place at an endpoint for which it has nothing to read. */
-export function createIdleChoice(endpoint: EndpointState): Choice {
-  return {
-    endpoint,
-    work: NO_WORK,
-    totalWork: NO_WORK,
-    missingTokens: 0,
-    predictedMilliseconds: 0,
-    isLong: false,
-  };
-}
-
 /** How urgently a request needs an endpoint. */
 export interface ChoiceRequest {
   call: ForwardedCall;
@@ -64,10 +50,4 @@
     request: ChoiceRequest,
     endpoints: readonly EndpointState[],
   ): Choice | NoRoomReason;
-
-  /** Where a run should go on that has been read; undefined to stay. */
-  abstract chooseDestination(
-    source: EndpointState,
-    endpoints: readonly EndpointState[],
-  ): EndpointState | undefined;
 }
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -55,11 +55,6 @@
     this.cold = new ColdGuard(clock);
   }
 
-  /** Host and port. */
-  get address(): string {
-    return `${this.record.host}:${this.record.port}`;
-  }
-
   /** Attempts that all VMs have there, as far as this VM knows. */
   get running(): number {
     let sum = this.#attempts.size;
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -84,23 +84,6 @@
       : other.choice;
   }
 
-  override chooseDestination(
-    source: EndpointState,
-    endpoints: readonly EndpointState[],
-  ): EndpointState | undefined {
-    const longEngines = this.#listLongEngines(endpoints);
-    if (!this.#traits.canMoveRuns || !longEngines.has(source)) {
-      return undefined;
-    }
-    const most = this.#traits.slots * this.#settings.movedSlotShare;
-    const fit = endpoints.filter((endpoint) =>
-      !longEngines.has(endpoint) && !endpoint.cold.isDown &&
-      endpoint.running < most &&
-      endpoint.failureShare < this.#settings.movedFailureShare
-    );
-    return fit.sort(compareDestinations)[0];
-  }
-
   #pick(
     request: ChoiceRequest,
     endpoints: readonly EndpointState[],
@@ -288,15 +271,6 @@
   }
 }
 
-/** The warm ones first, then those that run least. */
-function compareDestinations(
-  first: EndpointState,
-  second: EndpointState,
-): number {
-  return Number(first.cold.isCold) - Number(second.cold.isCold) ||
-    first.running - second.running;
-}
-
 function isOverShare(standing: ShareStanding): boolean {
   return standing >= ShareStanding.Over;
 }
--- a/packages/forwarding/src/scheduling/engine_chooser_settings.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_settings.ts
@@ -30,10 +30,6 @@
   delayedStreamMilliseconds: number;
   /** How far engines are filled for whom; who has had least gets most. */
   room: Record<ShareStanding, RoomLimits>;
-  /** Runs are moved to engines that use less than this part of their slots. */
-  movedSlotShare: number;
-  /** Runs are moved to engines that fail less than this part of requests. */
-  movedFailureShare: number;
   /** The part of the objective that the prediction may take. */
   objectiveShare: number;
   /** The part of the objective that a request waits for its best engine. */
@@ -77,8 +73,6 @@
       rereadTokens: 300,
     },
   },
-  movedSlotShare: 0.8,
-  movedFailureShare: 0.2,
   objectiveShare: 0.9,
   patienceShare: 0.55,
   worthWaitingMilliseconds: 80,
--- a/packages/forwarding/src/scheduling/engine_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_test.ts
@@ -17,7 +17,7 @@
 import { PrefillModel } from "./prefill_model.ts";
 import { ShareStanding } from "./share_meter.ts";
 
-const TRAITS = { slots: 64, memoryTokens: 400_000, canMoveRuns: true };
+const TRAITS = { slots: 64, memoryTokens: 400_000 };
 const MILLISECONDS_PER_TOKEN = 0.01;
 
 function createWorld(engines = 6) {
--- a/packages/forwarding/src/scheduling/plain_chooser.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser.ts
@@ -3,12 +3,12 @@
 import {
   type Choice,
   type ChoiceRequest,
-  createIdleChoice,
   EndpointChooser,
   NoRoomReason,
 } from "./endpoint_chooser.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 
+const NO_WORK = { tokens: 0, pairs: 0 };
 /** An endpoint that fails everything counts as this many times as busy. */
 const FAILURE_PENALTY = 20;
 /** Requests that wait at an endpoint, as a part of its slots. */
@@ -25,11 +25,7 @@
     }
     const open = endpoints.filter((endpoint) => hasRoom(endpoint));
     const best = pickLeastBusy(open, request);
-    return best === undefined ? NoRoomReason.Busy : createIdleChoice(best);
-  }
-
-  override chooseDestination(): undefined {
-    return undefined;
+    return best === undefined ? NoRoomReason.Busy : createChoice(best);
   }
 }
 
@@ -60,3 +56,14 @@
   const penalty = cold.isDown ? FAILURE_PENALTY : 0;
   return load * pace * (1 + FAILURE_PENALTY * failureShare) + penalty;
 }
+
+function createChoice(endpoint: EndpointState): Choice {
+  return {
+    endpoint,
+    work: NO_WORK,
+    totalWork: NO_WORK,
+    missingTokens: 0,
+    predictedMilliseconds: 0,
+    isLong: false,
+  };
+}
--- a/packages/forwarding/src/scheduling/refusal_policy.ts
+++ b/packages/forwarding/src/scheduling/refusal_policy.ts
@@ -16,8 +16,6 @@
 const LONGEST_LONG_WAIT_SHARE = 0.2;
 /** The part of the objective that a request waits for room to spare. */
 const LONGEST_SPARE_WAIT_SHARE = 0.12;
-/** The same for a long prompt, which has few engines to go to. */
-const LONGEST_LONG_SPARE_WAIT_SHARE = 0.6;
 /** When to come back for room to spare, as a part of the objective. */
 const SPARE_RETRY_AFTER_SHARE = 0.35;
 const SPREAD_SHARE = 0.5;
@@ -31,12 +29,6 @@
   late: number;
 }
 
-/** A request that waits for room to spare. */
-export interface SpareWait {
-  objectiveMilliseconds: number;
-  isLong: boolean;
-}
-
 /** Predicts waits from how fast the queue moves. */
 export class RefusalPolicy {
   readonly #grants: SlidingSum;
@@ -87,12 +79,10 @@
   /** Whether a request has waited long enough for room to spare. */
   hasWaitedForSpare(
     waitedMilliseconds: number,
-    { objectiveMilliseconds, isLong }: SpareWait,
+    objectiveMilliseconds: number,
   ): boolean {
-    const share = isLong
-      ? LONGEST_LONG_SPARE_WAIT_SHARE
-      : LONGEST_SPARE_WAIT_SHARE;
-    return waitedMilliseconds >= objectiveMilliseconds * share;
+    return waitedMilliseconds >=
+      objectiveMilliseconds * LONGEST_SPARE_WAIT_SHARE;
   }
 
   /**
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -14,7 +14,6 @@
 import {
   type Choice,
   type ChoiceRequest,
-  createIdleChoice,
   type EndpointChooser,
   NoRoomReason,
 } from "./endpoint_chooser.ts";
@@ -157,21 +156,6 @@
     this.#runStep();
   }
 
-  /** Where the run of a long prompt should go on; undefined to stay. */
-  findDestination({ choice, endpoint }: Grant): EndpointState | undefined {
-    return choice.isLong
-      ? this.#options.chooser.chooseDestination(endpoint, this.#listUsable())
-      : undefined;
-  }
-
-  /** Takes a place for a run that was moved. */
-  grantMoved(endpoint: EndpointState): Grant {
-    const choice = createIdleChoice(endpoint);
-    const attempt = endpoint.addAttempt(choice.work);
-    endpoint.markAnswering(attempt);
-    return { endpoint, attempt, choice, waitedMilliseconds: 0 };
-  }
-
   /** Notes the longest pause of a stream; those of long prompts don't count. */
   recordPause({ choice }: Grant, pause: StreamPause): void {
     if (!choice.isLong) {
@@ -256,45 +240,49 @@
       this.#refuse(waiting, RefusalKind.NoEndpoint);
       return true;
     }
-    const isHopeless = request.standing >= ShareStanding.Over
-      ? this.#hasWaitedForSpare(waiting, request, choice)
-      : this.#isHopeless(waiting, choice);
-    if (isHopeless) {
-      this.#refuse(
-        waiting,
-        request.standing >= ShareStanding.Over
-          ? RefusalKind.OverShare
-          : RefusalKind.Overload,
-      );
-    }
-    return isHopeless;
+    const isOwed = request.standing < ShareStanding.Over;
+    return choice === NoRoomReason.LongBusy && isOwed
+      ? this.#refuseHopelessLong(waiting, now)
+      : this.#refuseHopeless(waiting, request);
   }
 
-  #hasWaitedForSpare(
-    { call, since }: Waiting,
-    { standing }: ChoiceRequest,
-    reason: NoRoomReason,
-  ): boolean {
-    return this.#refusals.hasWaitedForSpare(this.#options.clock.now() - since, {
-      objectiveMilliseconds: call.route.objectiveMilliseconds,
-      isLong: reason === NoRoomReason.LongBusy &&
-        standing === ShareStanding.Over,
+  /** Returns whether the request is refused; else it waits on. */
+  #refuseHopelessLong(waiting: Waiting, now: number): boolean {
+    const isHopeless = this.#refusals.isHopelessForLong({
+      waitedMilliseconds: now - waiting.since,
+      leftMilliseconds: waiting.call.endsAt - now,
+      late: this.#countLate(now),
     });
+    if (isHopeless) {
+      this.#refuse(waiting, RefusalKind.Overload);
+    }
+    return isHopeless;
   }
 
-  #isHopeless({ call, since, startBy }: Waiting, reason: NoRoomReason) {
+  /** Returns whether the request is refused; else it waits on. */
+  #refuseHopeless(waiting: Waiting, request: ChoiceRequest): boolean {
     const now = this.#options.clock.now();
-    const situation = {
-      waitedMilliseconds: now - since,
-      leftMilliseconds: call.endsAt - now,
-    };
-    const late = this.#countLate(now);
-    return reason === NoRoomReason.LongBusy
-      ? this.#refusals.isHopelessForLong({ ...situation, late })
-      : this.#refusals.isHopeless({
-        ...situation,
-        late: startBy <= now ? late : 0,
-      });
+    const { objectiveMilliseconds } = waiting.call.route;
+    if (request.standing >= ShareStanding.Over) {
+      const isOver = this.#refusals.hasWaitedForSpare(
+        now - waiting.since,
+        objectiveMilliseconds,
+      );
+      if (isOver) {
+        this.#refuse(waiting, RefusalKind.OverShare);
+      }
+      return isOver;
+    }
+    const isLate = request.remainingMilliseconds <= 0;
+    const isHopeless = this.#refusals.isHopeless({
+      waitedMilliseconds: now - waiting.since,
+      leftMilliseconds: waiting.call.endsAt - now,
+      late: isLate ? this.#countLate(now) : 0,
+    });
+    if (isHopeless) {
+      this.#refuse(waiting, RefusalKind.Overload);
+    }
+    return isHopeless;
   }
 
   #countLate(now: number): number {
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -218,17 +218,11 @@
 
 function createEngineScheduler() {
   const world = createScheduler();
-  const service = buildService({
-    engine: { slots: 8, memoryTokens: 100_000, canMoveRuns: true },
-  });
+  const service = buildService({ engine: { slots: 8, memoryTokens: 100_000 } });
   const model = new PrefillModel(0.01);
   const scheduler = new ServiceScheduler({
     service,
-    chooser: new EngineChooser({
-      slots: 8,
-      memoryTokens: 100_000,
-      canMoveRuns: true,
-    }, model),
+    chooser: new EngineChooser({ slots: 8, memoryTokens: 100_000 }, model),
     shares: world.shares,
     clock: world.clock,
     random: new RandomSource(1),
--- a/packages/forwarding/src/testing/fixtures.ts
+++ b/packages/forwarding/src/testing/fixtures.ts
@@ -43,7 +43,7 @@
     connectionLimit: 100,
     coldMilliseconds: 3_000,
     coldRequestsPerSecond: 20,
-    engine: { slots: 64, memoryTokens: 400_000, canMoveRuns: true },
+    engine: { slots: 64, memoryTokens: 400_000 },
     ...changes,
   };
 }
--- a/packages/forwarding/src/testing/test_dialect.ts
+++ b/packages/forwarding/src/testing/test_dialect.ts
@@ -9,13 +9,11 @@
   type AnswerMarks,
   type AttemptHeaders,
   Dialect,
-  type EndpointRequest,
-  type MoveAnswer,
 } from "../model/dialect.ts";
 import type { EndpointRecord } from "../model/endpoint_record.ts";
 import type { ForwardingConfiguration } from "../model/route.ts";
 
-const PASSED_ON = new Set(["host", "content-type", "x-request", "x-prompt"]);
+const PASSED_ON = new Set(["host", "content-type", "x-request"]);
 
 /** Headers that begin with `x-`. */
 export class TestDialect extends Dialect {
@@ -27,7 +25,7 @@
       deadlineMilliseconds: deadline === undefined
         ? undefined
         : Number(deadline),
-      prompt: readPrompt(headers["x-prompt"]),
+      prompt: undefined,
       lastEvent: "",
     };
   }
@@ -49,36 +47,9 @@
     if (attempt.lastEvent !== undefined) {
       headers.push("x-last-event", attempt.lastEvent);
     }
-    if (attempt.memory !== undefined) {
-      headers.push("x-memory", attempt.memory.handle);
-    }
     return headers;
   }
 
-  override buildMove(request: string, destination: string): EndpointRequest {
-    return {
-      method: "POST",
-      target: `/move/${request}?to=${destination}`,
-      headers: [],
-      body: new Uint8Array(),
-    };
-  }
-
-  override readMove(status: number, body: Uint8Array): MoveAnswer | undefined {
-    return status === 200 || status === 503
-      ? parseJson(body) as MoveAnswer | undefined
-      : undefined;
-  }
-
-  override buildMemoryRelease(handle: string): EndpointRequest {
-    return {
-      method: "DELETE",
-      target: `/memory/${handle}`,
-      headers: [],
-      body: new Uint8Array(),
-    };
-  }
-
   override readMarks(headers: AnswerHeaders): AnswerMarks {
     return {
       request: String(headers["x-request"] ?? ""),
@@ -90,16 +61,6 @@
   }
 }
 
-/** A prompt of so many tokens in one part. */
-function readPrompt(tokens: string | string[] | undefined) {
-  const count = Number(tokens ?? 0);
-  return count === 0 ? undefined : {
-    tokens: count,
-    outputTokens: 100,
-    parts: [{ id: `own-${count}`, tokens: count }],
-  };
-}
-
 /** Rows that hold the model's own types as JSON. */
 export class TestRowDecoder extends RowDecoder {
   override readonly tables = { operator: "operator", endpoints: "endpoints" };
