Refuse from the end of the queue; count shares over half of a period

Cause: a step refused late requests in queue order, so those that go first went first away too.

Change: WaitingQueue holds the order; a step grants from the front, then refuses from the back. ShareMeter looks at half of a period.

--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -25,7 +25,7 @@
 
 const TOKENS_PER_THOUSAND = 1_000;
 /** Fewer engines take all prompts. */
-const LEAST_ENGINES_TO_SPLIT = 3;
+const LEAST_ENGINES_TO_SPLIT = 4;
 /** Ranks the engines for long prompts; no part has this id. */
 const LONG_PART = "long";
 
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -21,6 +21,7 @@
 import { RefusalPolicy } from "./refusal_policy.ts";
 import { type ShareMeter, ShareStanding } from "./share_meter.ts";
 import { SpareRoom } from "./spare_room.ts";
+import { type Waiting, WaitingQueue } from "./waiting_queue.ts";
 
 const STEP_MILLISECONDS = 10;
 /** Peers should know of such a prompt before they choose an engine. */
@@ -65,14 +66,13 @@
   | { grant: Grant; refusal?: never }
   | { grant?: never; refusal: Refusal };
 
-interface Waiting {
-  call: ForwardedCall;
-  avoid: ReadonlySet<string>;
-  since: number;
-  standing: ShareStanding;
-  /** After this it is too late for the objective. */
-  startBy: number;
-  verdict: Deferred<Verdict>;
+type WaitingRequest = Waiting<Verdict>;
+
+/** A request that could not be granted now. */
+interface Blocked {
+  waiting: WaitingRequest;
+  request: ChoiceRequest;
+  reason: NoRoomReason;
 }
 
 /** What a service's scheduler works with. */
@@ -98,7 +98,7 @@
   readonly #endpoints = new Map<string, EndpointState>();
   readonly #refusals: RefusalPolicy;
   readonly #spareRoom = new SpareRoom();
-  #queue: Waiting[] = [];
+  readonly #queue = new WaitingQueue<Verdict>();
   #timer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: ServiceSchedulerOptions) {
@@ -108,7 +108,7 @@
   }
 
   get waiting(): number {
-    return this.#queue.length;
+    return this.#queue.size;
   }
 
   get coldBound(): ColdBound {
@@ -122,7 +122,7 @@
     signal: AbortSignal,
   ): Promise<Verdict> {
     const now = this.#options.clock.now();
-    const waiting: Waiting = {
+    const waiting: WaitingRequest = {
       call,
       avoid,
       since: now,
@@ -131,7 +131,7 @@
       verdict: new Deferred<Verdict>(),
     };
     const abandon = () => {
-      if (this.#remove(waiting)) {
+      if (this.#queue.remove(waiting)) {
         this.#refuse(waiting, RefusalKind.Abandoned);
       }
     };
@@ -139,7 +139,7 @@
     void waiting.verdict.promise.then(() =>
       signal.removeEventListener("abort", abandon)
     );
-    this.#insert(waiting);
+    this.#queue.add(waiting);
     this.#runStep();
     return waiting.verdict.promise;
   }
@@ -199,101 +199,91 @@
         endpoint.cold.noteDownAtPeer(downAge);
       }
     }
-    if (this.#queue.length > 0) {
+    if (this.#queue.size > 0) {
       this.#runStep();
     }
   }
 
-  /** Grants and refuses what can be decided now; the late come last. */
+  /** Grants what there is room for, in order; then refuses from the end. */
   #runStep(): void {
     let endpoints = this.#listUsable();
-    const now = this.#options.clock.now();
-    const onTime = this.#queue.filter(({ startBy }) => startBy > now);
-    const late = this.#queue.filter(({ startBy }) => startBy <= now);
-    for (const waiting of [...onTime, ...late]) {
-      if (this.#decide(waiting, endpoints)) {
-        this.#remove(waiting);
+    const blocked: Blocked[] = [];
+    for (const waiting of this.#queue.list(this.#options.clock.now())) {
+      const found = this.#tryGrant(waiting, endpoints);
+      if (found === undefined) {
+        this.#queue.remove(waiting);
         // A cold endpoint may have had what it bears with this one.
         endpoints = this.#listUsable();
+      } else {
+        blocked.push(found);
       }
     }
+    for (const found of blocked.reverse()) {
+      this.#refuseHopeless(found);
+    }
     this.#scheduleStep();
   }
 
-  /** Returns whether the request left the queue. */
-  #decide(
-    waiting: Waiting,
+  /** Grants or refuses a request for good, or says what is in its way. */
+  #tryGrant(
+    waiting: WaitingRequest,
     endpoints: readonly EndpointState[],
-  ): boolean {
+  ): Blocked | undefined {
     const now = this.#options.clock.now();
     if (now >= waiting.call.endsAt) {
       this.#refuse(waiting, RefusalKind.Expired);
-      return true;
+      return undefined;
     }
     const request = this.#describeRequest(waiting, now);
     const choice = this.#options.chooser.choose(request, endpoints);
     if (typeof choice === "object") {
       this.#grant(waiting, choice);
-      return true;
+      return undefined;
     }
     if (choice === NoRoomReason.NoEndpoint && !this.#mayReturn()) {
       this.#refuse(waiting, RefusalKind.NoEndpoint);
-      return true;
+      return undefined;
     }
-    const isOwed = request.standing < ShareStanding.Over;
-    return choice === NoRoomReason.LongBusy && isOwed
-      ? this.#refuseHopelessLong(waiting, now)
-      : this.#refuseHopeless(waiting, request);
+    return { waiting, request, reason: choice };
   }
 
-  /** Returns whether the request is refused; else it waits on. */
-  #refuseHopelessLong(waiting: Waiting, now: number): boolean {
-    const isHopeless = this.#refusals.isHopelessForLong({
-      waitedMilliseconds: now - waiting.since,
-      leftMilliseconds: waiting.call.endsAt - now,
-      late: this.#countLate(now),
-    });
-    if (isHopeless) {
-      this.#refuse(waiting, RefusalKind.Overload);
+  /** Refuses a request that had better come back than wait on. */
+  #refuseHopeless(blocked: Blocked): void {
+    const isOverShare = blocked.request.standing >= ShareStanding.Over;
+    const isHopeless = isOverShare
+      ? this.#hasWaitedForSpare(blocked)
+      : this.#isHopeless(blocked);
+    if (!isHopeless) {
+      return;
     }
-    return isHopeless;
+    const kind = isOverShare ? RefusalKind.OverShare : RefusalKind.Overload;
+    this.#queue.remove(blocked.waiting);
+    this.#refuse(blocked.waiting, kind);
   }
 
-  /** Returns whether the request is refused; else it waits on. */
-  #refuseHopeless(waiting: Waiting, request: ChoiceRequest): boolean {
-    const now = this.#options.clock.now();
-    const { objectiveMilliseconds } = waiting.call.route;
-    if (request.standing >= ShareStanding.Over) {
-      const isOver = this.#refusals.hasWaitedForSpare(
-        now - waiting.since,
-        objectiveMilliseconds,
-      );
-      if (isOver) {
-        this.#refuse(waiting, RefusalKind.OverShare);
-      }
-      return isOver;
-    }
-    const isLate = request.remainingMilliseconds <= 0;
-    const isHopeless = this.#refusals.isHopeless({
-      waitedMilliseconds: now - waiting.since,
-      leftMilliseconds: waiting.call.endsAt - now,
-      late: isLate ? this.#countLate(now) : 0,
-    });
-    if (isHopeless) {
-      this.#refuse(waiting, RefusalKind.Overload);
-    }
-    return isHopeless;
+  #hasWaitedForSpare({ waiting }: Blocked): boolean {
+    const { call, since } = waiting;
+    return this.#refusals.hasWaitedForSpare(
+      this.#options.clock.now() - since,
+      call.route.objectiveMilliseconds,
+    );
   }
 
-  #countLate(now: number): number {
-    let late = 0;
-    for (const { startBy } of this.#queue) {
-      late += startBy <= now ? 1 : 0;
-    }
-    return late;
+  #isHopeless({ waiting, reason }: Blocked): boolean {
+    const { call, since, startBy } = waiting;
+    const now = this.#options.clock.now();
+    const late = this.#queue.countLate(now);
+    const situation = {
+      waitedMilliseconds: now - since,
+      leftMilliseconds: call.endsAt - now,
+      late: startBy <= now ? late : 0,
+    };
+    return reason === NoRoomReason.LongBusy
+      ? this.#refusals.isHopelessForLong({ ...situation, late })
+      : this.#refusals.isHopeless(situation);
   }
 
-  #describeRequest(waiting: Waiting, now: number): ChoiceRequest {
+  #describeRequest(waiting: WaitingRequest, now: number): ChoiceRequest {
     const { call, avoid, startBy } = waiting;
     const standing = this.#judge(call);
     const remainingMilliseconds = startBy - now;
@@ -327,7 +317,7 @@
     return false;
   }
 
-  #grant(waiting: Waiting, choice: Choice): void {
+  #grant(waiting: WaitingRequest, choice: Choice): void {
     const { call } = waiting;
     const { endpoint, work } = choice;
     const attempt = endpoint.addAttempt(work);
@@ -348,41 +338,20 @@
     });
   }
 
-  #refuse(waiting: Waiting, kind: RefusalKind): void {
+  #refuse(waiting: WaitingRequest, kind: RefusalKind): void {
     const waitedMilliseconds = this.#options.clock.now() - waiting.since;
     const retryAfterMilliseconds = kind === RefusalKind.OverShare
       ? this.#refusals.computeSpareRetryAfter(
         waiting.call.route.objectiveMilliseconds,
       )
-      : this.#refusals.computeRetryAfter(this.#queue.length);
+      : this.#refusals.computeRetryAfter(this.#queue.size);
     waiting.verdict.resolve({
       refusal: { kind, retryAfterMilliseconds, waitedMilliseconds },
     });
   }
 
-  /** Keeps the queue in the order in which requests are looked at. */
-  #insert(waiting: Waiting): void {
-    let place = this.#queue.length;
-    while (
-      place > 0 &&
-      compareWaiting(waiting, this.#queue[place - 1] as Waiting) < 0
-    ) {
-      place--;
-    }
-    this.#queue.splice(place, 0, waiting);
-  }
-
-  #remove(waiting: Waiting): boolean {
-    const place = this.#queue.indexOf(waiting);
-    if (place < 0) {
-      return false;
-    }
-    this.#queue.splice(place, 1);
-    return true;
-  }
-
   #scheduleStep(): void {
-    if (this.#queue.length === 0 || this.#timer !== undefined) {
+    if (this.#queue.size === 0 || this.#timer !== undefined) {
       return;
     }
     this.#timer = setTimeout(() => {
@@ -391,14 +360,3 @@
     }, STEP_MILLISECONDS);
   }
 }
-
-/** The more urgent first, then who has had less, then what must start first. */
-function compareWaiting(first: Waiting, second: Waiting): number {
-  if (first.call.priority !== second.call.priority) {
-    return first.call.priority - second.call.priority;
-  }
-  if (first.standing !== second.standing) {
-    return first.standing - second.standing;
-  }
-  return first.startBy - second.startBy;
-}
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -182,6 +182,30 @@
     expect(isGranted(await (granted[0] as Promise<Verdict>))).to.equal(true);
   });
 
+  it("refuses the last in the queue first, not those that go first", async () => {
+    const { clock, scheduler } = createScheduler();
+    await runCalls(scheduler, buildCall(clock.now()), 3);
+    const route = buildRoute({ objectiveMilliseconds: 1 });
+    const refused: string[] = [];
+    const submit = (name: string, priority: number) => {
+      const call = buildCall(clock.now(), { route, priority });
+      void scheduler.submit(call, NOBODY, NEVER).then(({ refusal }) => {
+        if (refusal !== undefined) {
+          refused.push(name);
+        }
+      });
+    };
+    submit("urgent", 0);
+    for (let request = 0; request < 10; request++) {
+      submit("usual", 1);
+    }
+    await clock.advance(5);
+    submit("usual", 1);
+    await clock.advance(1);
+    expect(refused).to.not.be.empty;
+    expect(refused).to.not.include("urgent");
+  });
+
   it("refuses who is over its share before anyone else under load", async () => {
     const { clock, shares, scheduler } = createEngineScheduler();
     // Twice what the modest one asks for in a period.
--- a/packages/forwarding/src/scheduling/share_meter.ts
+++ b/packages/forwarding/src/scheduling/share_meter.ts
@@ -12,6 +12,8 @@
 /** What a silent peer said counts for so long. */
 const PEER_EXPIRY_MILLISECONDS = 1_000;
 const LEVEL_REFRESH_MILLISECONDS = 50;
+/** The part of the period that is looked at, so that shares come evenly. */
+const WINDOW_SHARE = 0.5;
 
 /** Below this part of its share an organisation goes first. */
 const LOW_SHARE = 0.5;
@@ -53,11 +55,13 @@
 }
 
 /**
- * Adds up what each organisation asked for and got in the newest period, here
- * and at the peers, and finds the level above which asking is not owed.
+ * Adds up what each organisation asked for and got in the newest half of a
+ * period, here and at the peers, and finds the level above which asking is not
+ * owed.
  */
 export class ShareMeter {
   readonly #options: ShareMeterOptions;
+  readonly #windowMilliseconds: number;
   readonly #local = new Map<OrganisationId, LocalUse>();
   readonly #peers = new Map<VmId, PeerUse>();
   #fleet = new Map<OrganisationId, FleetUse>();
@@ -69,6 +73,7 @@
 
   constructor(options: ShareMeterOptions) {
     this.#options = options;
+    this.#windowMilliseconds = options.periodMilliseconds * WINDOW_SHARE;
   }
 
   /** Takes in what all engines produce a second; 0 for unknown. */
@@ -88,13 +93,13 @@
     }
   }
 
-  /** Takes in a peer's uses of its own newest period. */
+  /** Takes in a peer's uses of its own newest window. */
   mergePeer(vm: VmId, uses: readonly OrganisationUse[]): void {
     const receivedAt = this.#options.clock.now();
     this.#peers.set(vm, { receivedAt, uses });
   }
 
-  /** The uses at this VM in the newest period. */
+  /** The uses at this VM in the newest window. */
   listLocal(): OrganisationUse[] {
     const uses: OrganisationUse[] = [];
     for (const [organisation, { asked, granted }] of this.#local) {
@@ -111,7 +116,7 @@
     return uses;
   }
 
-  /** What an organisation has had of its share of the newest period. */
+  /** What an organisation has had of its share of the newest window. */
   judge(organisation: OrganisationId): ShareStanding {
     this.#refresh();
     const granted = this.#fleet.get(organisation)?.granted ?? 0;
@@ -126,7 +131,7 @@
       : ShareStanding.FarOver;
   }
 
-  /** The cost units of a period above which nothing is owed. */
+  /** The cost units of a window above which nothing is owed. */
   get level(): number {
     this.#refresh();
     return this.#level;
@@ -137,10 +142,10 @@
     if (known !== undefined) {
       return known;
     }
-    const { clock, periodMilliseconds } = this.#options;
+    const { clock } = this.#options;
     const created = {
-      asked: new SlidingSum(clock, periodMilliseconds),
-      granted: new SlidingSum(clock, periodMilliseconds),
+      asked: new SlidingSum(clock, this.#windowMilliseconds),
+      granted: new SlidingSum(clock, this.#windowMilliseconds),
     };
     this.#local.set(organisation, created);
     return created;
@@ -167,8 +172,8 @@
   }
 
   #computeCapacity(): number {
-    const seconds = this.#options.periodMilliseconds / MILLISECONDS_PER_SECOND;
-    return this.#costPerSecond * seconds;
+    return this.#costPerSecond * this.#windowMilliseconds /
+      MILLISECONDS_PER_SECOND;
   }
 
   #sumFleet(now: number): Map<OrganisationId, FleetUse> {
