Begin each retry budget with as many retries as crashes may hit one request

Change: a budget begins with 2 retries, the crashes until quarantine; a test that failed first. Retries stay 0.2 of the requests.

--- a/packages/limits/src/retry_budget.ts
+++ b/packages/limits/src/retry_budget.ts
@@ -9,6 +9,8 @@
   ratio: number;
   /** Retries earned a second without any request, so that few can retry. */
   floorPerSecond: number;
+  /** Retries before any request; a crash may hit the first one twice. */
+  initial: number;
   /** The most retries that are kept for later. */
   maximum: number;
   /** How many pairs of organisation and service are remembered. */
@@ -19,6 +21,7 @@
 export const DEFAULT_RETRY_BUDGET_SETTINGS: RetryBudgetSettings = {
   ratio: 0.2,
   floorPerSecond: 0.5,
+  initial: 2,
   maximum: 20,
   rememberedPairs: 20_000,
 };
@@ -61,7 +64,7 @@
     const key = `${organisation}\n${service}`;
     const now = this.#clock.now();
     const budget = this.#budgets.get(key) ??
-      { tokens: Math.min(1, this.#settings.maximum), refilledAt: now };
+      { tokens: this.#settings.initial, refilledAt: now };
     const seconds = (now - budget.refilledAt) / 1000;
     budget.refilledAt = now;
     this.#add(budget, seconds * this.#settings.floorPerSecond);
--- a/packages/limits/src/suspects_test.ts
+++ b/packages/limits/src/suspects_test.ts
@@ -133,4 +133,17 @@
     expect(budget.takeRetry("a", "s")).to.equal(false);
     expect(budget.takeRetry("b", "s")).to.equal(true);
   });
+
+  it("repeats one request as often as a crashing neighbour may hit it", () => {
+    const budget = new RetryBudget(
+      new ManualClock(),
+      DEFAULT_RETRY_BUDGET_SETTINGS,
+    );
+    budget.recordRequest("a", "s");
+    const { crashesUntilQuarantine } = DEFAULT_SUSPECT_SETTINGS;
+    for (let crash = 0; crash < crashesUntilQuarantine; crash++) {
+      expect(budget.takeRetry("a", "s"), `crash ${crash}`).to.equal(true);
+    }
+    expect(budget.takeRetry("a", "s")).to.equal(false);
+  });
 });
