Decide on each request of a flood once; hold few that wait for spare room

Each looked at the whole queue again, and those over their share had begun to wait for an eighth of their objective, so the VM was busy for seconds, read requests after their callers had left and sent them on (45 times).

Ruled out: the exchange with peers (the other VMs had time to spare); the store.

Change: a request that has just come is decided on by itself, and the queue only when room may have changed; requests over their share that wait are bounded by what is sent within such a wait; the engines for long prompts are ranked once for a list of engines.

--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -29,6 +29,12 @@
 /** Ranks the engines for long prompts; no part has this id. */
 const LONG_PART = "long";
 
+/** The engines that take long prompts, among those that are usable. */
+interface LongEngines {
+  among: readonly EndpointState[];
+  engines: ReadonlySet<EndpointState>;
+}
+
 interface CostedChoice {
   choice: Choice;
   /** What speaks against it, in milliseconds. */
@@ -41,6 +47,8 @@
   readonly #model: PrefillModel;
   readonly #settings: EngineChooserSettings;
   readonly #ranks = new RendezvousScores();
+  /** For the endpoints that were listed last. */
+  #longEngines: LongEngines | undefined;
 
   constructor(
     traits: EngineTraits,
@@ -232,9 +240,19 @@
     return predictedMilliseconds + reread + failed + avoided + delayed + beside;
   }
 
-  /** All VMs choose the same engines for long prompts. */
   #listLongEngines(
     endpoints: readonly EndpointState[],
+  ): ReadonlySet<EndpointState> {
+    if (this.#longEngines?.among !== endpoints) {
+      const engines = this.#rankLongEngines(endpoints);
+      this.#longEngines = { among: endpoints, engines };
+    }
+    return this.#longEngines.engines;
+  }
+
+  /** All VMs choose the same engines for long prompts. */
+  #rankLongEngines(
+    endpoints: readonly EndpointState[],
   ): ReadonlySet<EndpointState> {
     const count = Math.max(
       1,
--- a/packages/forwarding/src/scheduling/refusal_policy.ts
+++ b/packages/forwarding/src/scheduling/refusal_policy.ts
@@ -29,6 +29,14 @@
   late: number;
 }
 
+/** A request that waits for room to spare. */
+export interface SpareSituation {
+  waitedMilliseconds: number;
+  objectiveMilliseconds: number;
+  /** How many requests wait for room to spare, with this one. */
+  waiting: number;
+}
+
 /** Predicts waits from how fast the queue moves. */
 export class RefusalPolicy {
   readonly #grants: SlidingSum;
@@ -76,13 +84,16 @@
       waitedMilliseconds > wholeMilliseconds * LONGEST_LONG_WAIT_SHARE;
   }
 
-  /** Whether a request has waited long enough for room to spare. */
-  hasWaitedForSpare(
-    waitedMilliseconds: number,
-    objectiveMilliseconds: number,
-  ): boolean {
-    return waitedMilliseconds >=
-      objectiveMilliseconds * LONGEST_SPARE_WAIT_SHARE;
+  /**
+   * Whether a request should wait no longer for room to spare. More of them
+   * than are sent within such a wait cannot all get any.
+   */
+  isHopelessForSpare(situation: SpareSituation): boolean {
+    const { waitedMilliseconds, objectiveMilliseconds, waiting } = situation;
+    const longest = objectiveMilliseconds * LONGEST_SPARE_WAIT_SHARE;
+    const sent = this.#grants.sum * longest / RATE_WINDOW_MILLISECONDS;
+    return waitedMilliseconds >= longest ||
+      waiting > Math.max(LEAST_QUEUE, sent);
   }
 
   /**
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -140,7 +140,7 @@
       signal.removeEventListener("abort", abandon)
     );
     this.#queue.add(waiting);
-    this.#runStep();
+    this.#decideNew(waiting);
     return waiting.verdict.promise;
   }
 
@@ -204,6 +204,21 @@
     }
   }
 
+  /**
+   * Decides on a request that has just come. For the others nothing has changed
+   * since the last step, and looking at them all again for each request of a
+   * flood would take more time than the requests themselves.
+   */
+  #decideNew(waiting: WaitingRequest): void {
+    const blocked = this.#tryGrant(waiting, this.#listUsable());
+    if (blocked === undefined) {
+      this.#queue.remove(waiting);
+    } else {
+      this.#refuseHopeless(blocked);
+    }
+    this.#scheduleStep();
+  }
+
   /** Grants what there is room for, in order; then refuses from the end. */
   #runStep(): void {
     let endpoints = this.#listUsable();
@@ -251,7 +266,7 @@
   #refuseHopeless(blocked: Blocked): void {
     const isOverShare = blocked.request.standing >= ShareStanding.Over;
     const isHopeless = isOverShare
-      ? this.#hasWaitedForSpare(blocked)
+      ? this.#isHopelessForSpare(blocked.waiting)
       : this.#isHopeless(blocked);
     if (!isHopeless) {
       return;
@@ -261,12 +276,12 @@
     this.#refuse(blocked.waiting, kind);
   }
 
-  #hasWaitedForSpare({ waiting }: Blocked): boolean {
-    const { call, since } = waiting;
-    return this.#refusals.hasWaitedForSpare(
-      this.#options.clock.now() - since,
-      call.route.objectiveMilliseconds,
-    );
+  #isHopelessForSpare({ call, since }: WaitingRequest): boolean {
+    return this.#refusals.isHopelessForSpare({
+      waitedMilliseconds: this.#options.clock.now() - since,
+      objectiveMilliseconds: call.route.objectiveMilliseconds,
+      waiting: this.#queue.countOverShare(),
+    });
   }
 
   #isHopeless({ waiting, reason }: Blocked): boolean {
--- a/packages/forwarding/src/scheduling/waiting_queue.ts
+++ b/packages/forwarding/src/scheduling/waiting_queue.ts
@@ -2,7 +2,7 @@
 
 import type { Deferred } from "@rattanvane/base";
 import type { ForwardedCall } from "../model/call.ts";
-import type { ShareStanding } from "./share_meter.ts";
+import { ShareStanding } from "./share_meter.ts";
 
 /** A request that waits; `Verdict` is what it waits for. */
 export interface Waiting<Verdict> {
@@ -39,6 +39,15 @@
     this.#waiting.splice(place, 0, waiting);
   }
 
+  /** How many wait of those over their share. */
+  countOverShare(): number {
+    let count = 0;
+    for (const { standing } of this.#waiting) {
+      count += standing >= ShareStanding.Over ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Returns whether it waited. */
   remove(waiting: Waiting<Verdict>): boolean {
     const place = this.#waiting.indexOf(waiting);
