Separate the admission of requests from the VM that sends them

Cause: forwarding decided and sent on the same VM by construction: a run held the scheduler's own state of the endpoint, the crash tracker and the model. The redesign for hundreds of VMs lets one VM decide for others.

Change: the contract Admission grants an endpoint by address and takes a report of the attempt; LocalAdmission does what ForwardRun did to the endpoint's state. A quarantined request is refused by the admission too. The log line of an attempt has no fields pairs and pace any more, and 'running' is as of the grant.

--- /dev/null
+++ b/packages/forwarding/src/admission/local_admission.ts
@@ -0,0 +1,191 @@
+/** Admits requests with the schedulers of this VM. */
+
+import type { Clock } from "@rattanvane/base";
+import type { SuspectRegistry } from "@rattanvane/limits";
+import type { ServiceId } from "@rattanvane/protocol";
+import { OutcomeKind } from "../model/attempt_outcome.ts";
+import { computeCost, type SchedulableCall } from "../model/call.ts";
+import { RefusalKind } from "../scheduling/refusal.ts";
+import type { Grant } from "../scheduling/service_scheduler.ts";
+import type { ShareMeter } from "../scheduling/share_meter.ts";
+import type { ServiceRuntime } from "../service_registry.ts";
+import type { CrashTracker, TrackedAttempt } from "../state/crash_tracker.ts";
+import {
+  Admission,
+  type AdmissionRequest,
+  type AdmissionResult,
+  AttemptGrant,
+  type AttemptReport,
+  type GrantedEndpoint,
+  type GrantForecast,
+} from "./admission.ts";
+
+const QUARANTINE_RETRY_AFTER_MILLISECONDS = 10_000;
+const UNKNOWN_SERVICE_RETRY_AFTER_MILLISECONDS = 300;
+
+/** Dependencies of a {@link LocalAdmission}. */
+export interface LocalAdmissionOptions {
+  clock: Clock;
+  shares: ShareMeter;
+  suspects: SuspectRegistry;
+  crashes: CrashTracker;
+  findRuntime: (service: ServiceId) => ServiceRuntime | undefined;
+}
+
+/** Submits requests to the schedulers of this VM and accounts for the attempts. */
+export class LocalAdmission extends Admission {
+  readonly #options: LocalAdmissionOptions;
+
+  constructor(options: LocalAdmissionOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async submit(
+    { call, avoid, isRepeated }: AdmissionRequest,
+    signal: AbortSignal,
+  ): Promise<AdmissionResult> {
+    const { shares, suspects, findRuntime } = this.#options;
+    if (suspects.isQuarantined(call.fingerprint)) {
+      return buildRefusal(
+        RefusalKind.Quarantined,
+        QUARANTINE_RETRY_AFTER_MILLISECONDS,
+      );
+    }
+    const runtime = findRuntime(call.service);
+    if (runtime === undefined) {
+      return buildRefusal(
+        RefusalKind.NoEndpoint,
+        UNKNOWN_SERVICE_RETRY_AFTER_MILLISECONDS,
+      );
+    }
+    if (call.organisation !== undefined && !isRepeated) {
+      shares.recordAsked(call.organisation, computeCost(call));
+    }
+    const decision = await runtime.scheduler.submit(call, avoid, signal);
+    return decision.refusal === undefined
+      ? { grant: this.#createGrant(call, runtime, decision.grant) }
+      : { refusal: decision.refusal };
+  }
+
+  #createGrant(
+    call: SchedulableCall,
+    runtime: ServiceRuntime,
+    grant: Grant,
+  ): AttemptGrant {
+    const { clock, crashes } = this.#options;
+    return new LocalGrant({
+      call,
+      runtime,
+      grant,
+      crashes,
+      sentAt: clock.now(),
+    });
+  }
+}
+
+interface LocalGrantOptions {
+  call: SchedulableCall;
+  runtime: ServiceRuntime;
+  grant: Grant;
+  crashes: CrashTracker;
+  sentAt: number;
+}
+
+/** An attempt that a scheduler of this VM granted. */
+class LocalGrant extends AttemptGrant {
+  override readonly endpoint: GrantedEndpoint;
+  override readonly forecast: GrantForecast;
+  readonly #options: LocalGrantOptions;
+  readonly #tracked: TrackedAttempt;
+
+  constructor(options: LocalGrantOptions) {
+    super();
+    const { call, grant, crashes } = options;
+    const { endpoint } = grant;
+    this.#options = options;
+    this.#tracked = crashes.registerAttempt(endpoint.record.id, call);
+    this.endpoint = endpoint.record;
+    this.forecast = buildForecast(grant);
+  }
+
+  override recordAnswerStart(): void {
+    const { runtime, grant } = this.#options;
+    runtime.scheduler.markResponding(grant);
+  }
+
+  override recordEnd(report: AttemptReport): void {
+    const { crashes, runtime, grant } = this.#options;
+    crashes.recordOutcome(this.#tracked, report.kind);
+    this.#updateEndpoint(report);
+    this.#recordTiming(report);
+    runtime.scheduler.release(grant);
+  }
+
+  /** Updates the endpoint's cold-start state, availability and failure rate. */
+  #updateEndpoint({ kind, isConnectionRefused }: AttemptReport): void {
+    const { grant, runtime, sentAt } = this.#options;
+    const { endpoint } = grant;
+    switch (kind) {
+      case OutcomeKind.NotSent:
+        endpoint.coldStart.recordConnectFailure(isConnectionRefused);
+        return;
+      case OutcomeKind.WrongInstance:
+        endpoint.isOpen = false;
+        return;
+      case OutcomeKind.Stopped:
+        return;
+      case OutcomeKind.Answered:
+      case OutcomeKind.NotRun:
+      case OutcomeKind.Failed:
+        endpoint.coldStart.recordAnswer(sentAt, runtime.scheduler.coldBound);
+        break;
+      case OutcomeKind.Broken:
+      case OutcomeKind.StreamBroken:
+        break;
+    }
+    endpoint.recordOutcome(kind !== OutcomeKind.Answered);
+  }
+
+  /** Records the timing of an answer to a prompt, unless the endpoint failed. */
+  #recordTiming(report: AttemptReport): void {
+    const { call, grant, runtime } = this.#options;
+    const { choice, endpoint } = grant;
+    const { firstMilliseconds, kind } = report;
+    const isUsable = firstMilliseconds !== undefined &&
+      call.identity.prompt !== undefined && kind !== OutcomeKind.Failed;
+    if (!isUsable) {
+      return;
+    }
+    runtime.scheduler.recordPause(grant, {
+      longestMilliseconds: report.longestPauseMilliseconds,
+      allowedMilliseconds: call.route.pauseMilliseconds,
+    });
+    runtime.model.addSample(choice.totalWork, firstMilliseconds);
+    endpoint.recordPace(
+      firstMilliseconds * endpoint.pace /
+        Math.max(1, choice.predictedMilliseconds),
+    );
+  }
+}
+
+function buildForecast(
+  { choice, endpoint, waitedMilliseconds }: Grant,
+): GrantForecast {
+  return {
+    predictedMilliseconds: choice.predictedMilliseconds,
+    waitedMilliseconds,
+    ownTokens: choice.work.tokens,
+    aheadTokens: choice.totalWork.tokens - choice.work.tokens,
+    missingTokens: choice.missingTokens,
+    isLong: choice.isLong,
+    running: endpoint.running,
+  };
+}
+
+function buildRefusal(
+  kind: RefusalKind,
+  retryAfterMilliseconds: number,
+): AdmissionResult {
+  return { refusal: { kind, retryAfterMilliseconds, waitedMilliseconds: 0 } };
+}
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
 import type { TableFeed } from "@rattanvane/platform";
 import type { VmContact } from "@rattanvane/protocol";
+import { LocalAdmission } from "./admission/local_admission.ts";
 import { CrashTracker } from "./state/crash_tracker.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { RowDecoder } from "./state/row_decoder.ts";
@@ -23,7 +24,7 @@
 import { IngressServer } from "./ingress/ingress_server.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
-import { computeCost, type ForwardedCall } from "./model/call.ts";
+import type { ForwardedCall } from "./model/call.ts";
 import type { Dialect } from "./model/dialect.ts";
 import type { RouteTable } from "./model/route_table.ts";
 import { FleetPeers } from "./peers/fleet_peers.ts";
@@ -74,6 +75,7 @@
   readonly #services: ServiceRegistry;
   readonly #crashes: CrashTracker;
   readonly #peers: FleetPeers;
+  readonly #admission: LocalAdmission;
   readonly #transport: EndpointTransport;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
@@ -122,6 +124,13 @@
       countVms: () => this.#peers.countVms(),
       closeConnections: (address) => this.#transport.closeConnections(address),
     }, signal);
+    this.#admission = new LocalAdmission({
+      clock,
+      shares: this.#shares,
+      suspects: this.#suspects,
+      crashes: this.#crashes,
+      findRuntime: (service) => this.#services.find(service),
+    });
     this.#prober = new EndpointProber({
       clock,
       logger: logger.forPart("scheduler"),
@@ -286,24 +295,18 @@
         `Service "${call.service}" has no scheduler; configure the service`,
       );
     }
-    if (call.organisation !== undefined) {
-      this.#shares.recordAsked(call.organisation, computeCost(call));
-    }
     const run = new ForwardRun({
       clock: this.#options.clock,
       logger: this.#options.logger.forPart("ingress"),
       dialect: this.#options.dialect,
       transport: this.#transport,
       metrics: this.#metrics,
-      suspects: this.#suspects,
-      crashes: this.#crashes,
+      admission: this.#admission,
       countVms: () => this.#peers.countVms(),
     }, {
       call,
       answer,
-      scheduler: runtime.scheduler,
       retries: runtime.retries,
-      model: runtime.model,
       configurationVersion: this.#state.routes?.configuration.version ?? 0,
     });
     await run.run(signal);
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -6,7 +6,7 @@
 import type { ForwardedCall } from "../model/call.ts";
 import type { AnswerHeaders, Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
-import type { Grant } from "../scheduling/service_scheduler.ts";
+import type { GrantedEndpoint } from "../admission/admission.ts";
 import { type CallerAnswer, isFramed } from "./caller_answer.ts";
 import {
   type AnswerControl,
@@ -27,7 +27,7 @@
 /** The request, the endpoint and the dependencies of one attempt. */
 export interface AttemptRunOptions {
   call: ForwardedCall;
-  grant: Grant;
+  endpoint: GrantedEndpoint;
   dialect: Dialect;
   transport: EndpointTransport;
   clock: Clock;
@@ -153,10 +153,10 @@
   }
 
   #send(): void {
-    const { call, grant, dialect, transport, clock, splitter } = this.#options;
-    const { record } = grant.endpoint;
+    const { call, endpoint, dialect, transport, clock, splitter } =
+      this.#options;
     const headers = dialect.buildHeaders(call.rawHeaders, {
-      endpoint: record.id,
+      endpoint: endpoint.id,
       organisation: call.organisation,
       deadlineMilliseconds: Math.max(
         1,
@@ -165,7 +165,7 @@
       lastEvent: splitter.lastEventId === "" ? undefined : splitter.lastEventId,
     });
     const { method, target, body } = call;
-    const address = `${record.host}:${record.port}`;
+    const address = `${endpoint.host}:${endpoint.port}`;
     this.#request = transport.send(
       address,
       { method, target, headers, body },
--- a/packages/forwarding/src/ingress/final_answer.ts
+++ b/packages/forwarding/src/ingress/final_answer.ts
@@ -11,8 +11,8 @@
   OutcomeKind,
 } from "../model/attempt_outcome.ts";
 import { computeCost, type ForwardedCall } from "../model/call.ts";
-import type { EndpointState } from "../scheduling/endpoint_state.ts";
-import { type Refusal, RefusalKind } from "../scheduling/service_scheduler.ts";
+import type { GrantedEndpoint } from "../admission/admission.ts";
+import { type Refusal, RefusalKind } from "../scheduling/refusal.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { EventSplitter } from "./event_splitter.ts";
 
@@ -52,7 +52,7 @@
   }
 
   /** Answers with the outcome of the last attempt. */
-  conclude(outcome: AttemptOutcome, endpoint: EndpointState): void {
+  conclude(outcome: AttemptOutcome, endpoint: GrantedEndpoint): void {
     const { answer } = this.#options;
     if (outcome.kind === OutcomeKind.Stopped) {
       return;
@@ -84,7 +84,7 @@
     });
     this.#recordResult(FinalResult.Unknown, {
       status: STATUS_BAD_GATEWAY,
-      endpoint: endpoint.record.id,
+      endpoint: endpoint.id,
       reason: outcome.reason,
     });
   }
@@ -132,7 +132,7 @@
     }
     answer.sendLocal({
       status: STATUS_UNAVAILABLE,
-      reason: `The request has not run: ${refusal.kind}`,
+      reason: describeRefusal(refusal.kind),
       retryAfterMilliseconds: refusal.retryAfterMilliseconds,
     });
   }
@@ -182,3 +182,9 @@
     });
   }
 }
+
+function describeRefusal(kind: RefusalKind): string {
+  return kind === RefusalKind.Quarantined
+    ? "The request was running when endpoints crashed"
+    : `The request has not run: ${kind}`;
+}
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -1,19 +1,13 @@
 /** Forwards one request: waits for grants, makes attempts and answers once. */
 
 import { ChildAbort, type Clock, type Logger } from "@rattanvane/base";
-import type { SuspectRegistry } from "@rattanvane/limits";
-import type { CrashTracker } from "../state/crash_tracker.ts";
+import type { Admission, AttemptGrant } from "../admission/admission.ts";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
 import type { ForwardingMetrics } from "../metrics/forwarding_metrics.ts";
-import type { PrefillModel } from "../scheduling/prefill_model.ts";
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
-import type {
-  Grant,
-  ServiceScheduler,
-} from "../scheduling/service_scheduler.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
@@ -32,8 +26,7 @@
   dialect: Dialect;
   transport: EndpointTransport;
   metrics: ForwardingMetrics;
-  suspects: SuspectRegistry;
-  crashes: CrashTracker;
+  admission: Admission;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
 }
@@ -42,10 +35,7 @@
 export interface ForwardRunOptions {
   call: ForwardedCall;
   answer: CallerAnswer;
-  scheduler: ServiceScheduler;
   retries: RetryAllowance;
-  /** Updated with the time to the first byte of each prompt's answer. */
-  model: PrefillModel;
   configurationVersion: number;
 }
 
@@ -88,122 +78,67 @@
   }
 
   async #serve(signal: AbortSignal): Promise<void> {
-    const { call, scheduler, retries } = this.#options;
+    const { call, retries } = this.#options;
     retries.recordRequest();
     while (!signal.aborted) {
-      const verdict = await scheduler.submit(
+      const { refusal, grant } = await this.#environment.admission.submit({
         call,
-        this.#avoidedEndpoints,
-        signal,
-      );
-      if (verdict.refusal !== undefined) {
-        this.#finalAnswer.refuse(verdict.refusal);
+        avoid: this.#avoidedEndpoints,
+        isRepeated: this.#progress.sends > 0,
+      }, signal);
+      if (refusal !== undefined) {
+        this.#finalAnswer.refuse(refusal);
         return;
       }
-      const outcome = await this.#attempt(verdict.grant, signal);
-      if (!this.#mayRetry(outcome, verdict.grant)) {
-        this.#finalAnswer.conclude(outcome, verdict.grant.endpoint);
+      const outcome = await this.#attempt(grant, signal);
+      if (!this.#mayRetry(outcome, grant)) {
+        this.#finalAnswer.conclude(outcome, grant.endpoint);
         return;
       }
     }
   }
 
   async #attempt(
-    grant: Grant,
+    grant: AttemptGrant,
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
-    const { call, answer, scheduler } = this.#options;
-    const { endpoint } = grant;
-    const sentAt = this.#environment.clock.now();
-    const watched = this.#environment.crashes.registerAttempt(
-      endpoint.record.id,
-      call,
-    );
+    const { call, answer } = this.#options;
     this.#progress.sends++;
     const attempt = new AttemptRun({
       ...this.#environment,
       call,
-      grant,
+      endpoint: grant.endpoint,
       answer,
       splitter: this.#progress.splitter,
-      onAnswering: () => scheduler.markResponding(grant),
+      onAnswering: () => grant.recordAnswerStart(),
     });
     const outcome = await attempt.run(signal);
-    this.#environment.crashes.recordOutcome(watched, outcome.kind);
-    this.#updateEndpoint(grant, outcome, sentAt);
-    this.#recordTiming(grant, outcome);
-    scheduler.release(grant);
+    grant.recordEnd({
+      kind: outcome.kind,
+      isConnectionRefused: outcome.reason.includes(CONNECTION_REFUSED_CODE),
+      firstMilliseconds: outcome.firstMilliseconds,
+      longestPauseMilliseconds: outcome.longestPauseMilliseconds,
+    });
     this.#logAttempt(grant, outcome);
     return outcome;
   }
 
-  /** Updates the endpoint's cold-start state, availability and failure rate. */
-  #updateEndpoint(grant: Grant, outcome: AttemptOutcome, sentAt: number): void {
-    const { endpoint } = grant;
-    const { scheduler } = this.#options;
-    switch (outcome.kind) {
-      case OutcomeKind.NotSent:
-        endpoint.coldStart.recordConnectFailure(
-          outcome.reason.includes(CONNECTION_REFUSED_CODE),
-        );
-        return;
-      case OutcomeKind.WrongInstance:
-        endpoint.isOpen = false;
-        return;
-      case OutcomeKind.Stopped:
-        return;
-      case OutcomeKind.Answered:
-      case OutcomeKind.NotRun:
-      case OutcomeKind.Failed:
-        endpoint.coldStart.recordAnswer(sentAt, scheduler.coldBound);
-        break;
-      case OutcomeKind.Broken:
-      case OutcomeKind.StreamBroken:
-        break;
-    }
-    endpoint.recordOutcome(outcome.kind !== OutcomeKind.Answered);
-  }
-
-  /** Records the timing of an answer to a prompt, unless the endpoint failed. */
-  #recordTiming(grant: Grant, outcome: AttemptOutcome): void {
-    const { choice, endpoint } = grant;
-    const { firstMilliseconds } = outcome;
-    const isUsable = firstMilliseconds !== undefined &&
-      this.#options.call.identity.prompt !== undefined &&
-      outcome.kind !== OutcomeKind.Failed;
-    if (!isUsable) {
-      return;
-    }
-    this.#options.scheduler.recordPause(grant, {
-      longestMilliseconds: outcome.longestPauseMilliseconds,
-      allowedMilliseconds: this.#options.call.route.pauseMilliseconds,
-    });
-    this.#options.model.addSample(choice.totalWork, firstMilliseconds);
-    endpoint.recordPace(
-      firstMilliseconds * endpoint.pace /
-        Math.max(1, choice.predictedMilliseconds),
-    );
-  }
-
   /**
    * Whether another attempt may be made. Counts it against the retry budget,
    * unless nothing was sent.
    */
-  #mayRetry(outcome: AttemptOutcome, grant: Grant): boolean {
+  #mayRetry(outcome: AttemptOutcome, grant: AttemptGrant): boolean {
     const { call, answer } = this.#options;
     if (!this.#countRun(outcome)) {
       return false;
     }
-    this.#avoidedEndpoints.add(grant.endpoint.record.id);
-    const { clock, countVms, suspects } = this.#environment;
+    this.#avoidedEndpoints.add(grant.endpoint.id);
+    const { clock, countVms } = this.#environment;
     const remaining = call.deadlineAt - clock.now();
     const repeatable = isRepeatable(call, answer.hasBegun);
     const mayRepeat = isNotRun(outcome.kind) ||
       (repeatable && this.#progress.runs < call.route.attempts);
-    const isSuspect = suspects.isQuarantined(call.fingerprint);
-    if (
-      !mayRepeat || isSuspect || remaining < MIN_TIME_FOR_RETRY_MILLISECONDS
-    ) {
+    if (!mayRepeat || remaining < MIN_TIME_FOR_RETRY_MILLISECONDS) {
       return false;
     }
     if (this.#progress.sends >= call.route.attempts + MAX_EXTRA_SENDS) {
@@ -236,31 +171,29 @@
     }
   }
 
-  #logAttempt(grant: Grant, outcome: AttemptOutcome): void {
+  #logAttempt(grant: AttemptGrant, outcome: AttemptOutcome): void {
     const { call } = this.#options;
-    const { endpoint, choice, waitedMilliseconds } = grant;
+    const { endpoint, forecast } = grant;
     this.#environment.metrics.recordAttempt(call, outcome);
     this.#environment.logger.info("an attempt ended", {
       request: call.identity.request,
       service: call.service,
       organisation: call.organisation,
-      endpoint: endpoint.record.id,
-      zone: endpoint.record.zone,
+      endpoint: endpoint.id,
+      zone: endpoint.zone,
       outcome: outcome.kind,
       reason: outcome.reason,
-      waitedMilliseconds: Math.round(waitedMilliseconds),
-      predictedMilliseconds: Math.round(choice.predictedMilliseconds),
+      waitedMilliseconds: Math.round(forecast.waitedMilliseconds),
+      predictedMilliseconds: Math.round(forecast.predictedMilliseconds),
       firstMilliseconds: Math.round(outcome.firstMilliseconds ?? -1),
       longestPauseMilliseconds: Math.round(outcome.longestPauseMilliseconds),
       pauseAt: Math.round(outcome.pauseAt),
       durationMilliseconds: Math.round(outcome.durationMilliseconds),
-      ownTokens: choice.work.tokens,
-      aheadTokens: choice.totalWork.tokens - choice.work.tokens,
-      missingTokens: choice.missingTokens,
-      isLong: choice.isLong,
-      pairs: Number(choice.totalWork.pairs.toFixed(1)),
-      running: endpoint.running,
-      pace: Number(endpoint.pace.toFixed(2)),
+      ownTokens: forecast.ownTokens,
+      aheadTokens: forecast.aheadTokens,
+      missingTokens: forecast.missingTokens,
+      isLong: forecast.isLong,
+      running: forecast.running,
       events: this.#progress.splitter.eventCount,
     });
   }
--- a/packages/forwarding/src/metrics/operations_page_test.ts
+++ b/packages/forwarding/src/metrics/operations_page_test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import { expect } from "chai";
 import { describe, it } from "mocha";
-import { RefusalKind } from "../scheduling/service_scheduler.ts";
+import { RefusalKind } from "../scheduling/refusal.ts";
 import { ForwardingMetrics } from "./forwarding_metrics.ts";
 
 const PAGE = readFileSync("docs/OPERATIONS.md", "utf8");
--- a/packages/forwarding/src/model/call.ts
+++ b/packages/forwarding/src/model/call.ts
@@ -30,19 +30,13 @@
   lastEvent: string;
 }
 
-/** An admitted request with its route, organisation and deadline. */
-export interface ForwardedCall {
-  identity: CallIdentity;
-  route: ForwardingRoute;
+/** The part of a call that the scheduler of its service needs. */
+export interface SchedulableCall {
+  identity: Pick<CallIdentity, "request" | "prompt">;
+  route: Pick<ForwardingRoute, "objectiveMilliseconds" | "pauseMilliseconds">;
   service: ServiceId;
   organisation: OrganisationId | undefined;
   priority: number;
-  method: string;
-  /** The path and query string, as the caller sent them. */
-  target: string;
-  /** Alternating header names and values, as the caller sent them. */
-  rawHeaders: readonly string[];
-  body: Uint8Array;
   /** Equal for requests with the same path, query, organisation and body. */
   fingerprint: string;
   /** Monotonic time at which the request arrived, in milliseconds. */
@@ -51,11 +45,23 @@
   deadlineAt: number;
 }
 
+/** An admitted request with its route, organisation and deadline. */
+export interface ForwardedCall extends SchedulableCall {
+  identity: CallIdentity;
+  route: ForwardingRoute;
+  method: string;
+  /** The path and query string, as the caller sent them. */
+  target: string;
+  /** Alternating header names and values, as the caller sent them. */
+  rawHeaders: readonly string[];
+  body: Uint8Array;
+}
+
 /**
  * The cost units of a request: one per prompt token and two per expected output
  * token; 0 for a request without a prompt.
  */
-export function computeCost(call: ForwardedCall): number {
+export function computeCost(call: SchedulableCall): number {
   const { prompt } = call.identity;
   return prompt === undefined ? 0 : prompt.tokens + 2 * prompt.outputTokens;
 }
--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -1,6 +1,6 @@
 /** Contract for choosing the endpoint of a request. */
 
-import type { ForwardedCall } from "../model/call.ts";
+import type { SchedulableCall } from "../model/call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { PrefillWork } from "./prefill_model.ts";
 import type { ShareUsage } from "./share_meter.ts";
@@ -35,7 +35,7 @@
 
 /** A request for an endpoint, with the limits that apply to it. */
 export interface ChoiceRequest {
-  call: ForwardedCall;
+  call: SchedulableCall;
   /** Ids of endpoints that failed the request before. */
   avoid: ReadonlySet<string>;
   /** The time left of the latency objective, in milliseconds. */
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -1,8 +1,8 @@
 /** Chooses among model engines by the predicted time to the first event. */
 
 import { RendezvousScores } from "@rattanvane/base";
-import type { Prompt } from "../model/call.ts";
-import type { EngineCapacity, ForwardingRoute } from "../model/route.ts";
+import type { Prompt, SchedulableCall } from "../model/call.ts";
+import type { EngineCapacity } from "../model/route.ts";
 import {
   type Choice,
   type ChoiceRequest,
@@ -240,7 +240,7 @@
   }
 
   #isLongPrompt(
-    { pauseMilliseconds }: ForwardingRoute,
+    { pauseMilliseconds }: SchedulableCall["route"],
     work: PrefillWork,
   ): boolean {
     return this.#model.predictPrefill(work) >
--- /dev/null
+++ b/packages/forwarding/src/scheduling/refusal.ts
@@ -0,0 +1,24 @@
+/** Refusals of requests. */
+
+/** Why a request is not sent. */
+export enum RefusalKind {
+  /** No endpoint of the service accepts requests. */
+  NoEndpoint = "noEndpoint",
+  /** The request is not expected to be served in time. */
+  Overload = "overload",
+  /** The organisation is over its fair share, with no spare capacity left. */
+  OverShare = "overShare",
+  /** The request was running when several endpoints crashed. */
+  Quarantined = "quarantined",
+  /** The deadline of the request passed while it waited. */
+  Expired = "expired",
+  /** The caller disconnected. */
+  Abandoned = "abandoned",
+}
+
+/** A refused request, and when its caller should retry. */
+export interface Refusal {
+  kind: RefusalKind;
+  retryAfterMilliseconds: number;
+  waitedMilliseconds: number;
+}
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -7,7 +7,7 @@
   type RandomSource,
 } from "@rattanvane/base";
 import type { EndpointUse, ServiceId, VmId } from "@rattanvane/protocol";
-import { computeCost, type ForwardedCall } from "../model/call.ts";
+import { computeCost, type SchedulableCall } from "../model/call.ts";
 import type { EndpointRecord } from "../model/endpoint_record.ts";
 import type { ForwardedService } from "../model/route.ts";
 import type { ColdBound } from "./cold_start_guard.ts";
@@ -18,6 +18,7 @@
   NoCapacityReason,
 } from "./endpoint_chooser.ts";
 import { EndpointState, type LocalAttempt } from "./endpoint_state.ts";
+import { type Refusal, RefusalKind } from "./refusal.ts";
 import { RefusalPolicy } from "./refusal_policy.ts";
 import { type ShareMeter, ShareUsage } from "./share_meter.ts";
 import { SpareCapacityController } from "./spare_capacity_controller.ts";
@@ -44,27 +45,6 @@
   allowedMilliseconds: number;
 }
 
-/** Why a request is not sent. */
-export enum RefusalKind {
-  /** No endpoint of the service accepts requests. */
-  NoEndpoint = "noEndpoint",
-  /** The request is not expected to be served in time. */
-  Overload = "overload",
-  /** The organisation is over its fair share, with no spare capacity left. */
-  OverShare = "overShare",
-  /** The deadline of the request passed while it waited. */
-  Expired = "expired",
-  /** The caller disconnected. */
-  Abandoned = "abandoned",
-}
-
-/** A refused request, and when its caller should retry. */
-export interface Refusal {
-  kind: RefusalKind;
-  retryAfterMilliseconds: number;
-  waitedMilliseconds: number;
-}
-
 /** The result for a queued request: a grant or a refusal. */
 export type AdmissionDecision =
   | { grant: Grant; refusal?: never }
@@ -126,7 +106,7 @@
    * the signal removes it from the queue.
    */
   submit(
-    call: ForwardedCall,
+    call: SchedulableCall,
     avoid: ReadonlySet<string>,
     signal: AbortSignal,
   ): Promise<AdmissionDecision> {
@@ -335,7 +315,7 @@
   }
 
   /** Only requests with a prompt count against an organisation's share. */
-  #computeShareUsage(call: ForwardedCall): ShareUsage {
+  #computeShareUsage(call: SchedulableCall): ShareUsage {
     return call.organisation === undefined || call.identity.prompt === undefined
       ? ShareUsage.Low
       : this.#options.shares.computeShareUsage(call.organisation);
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -22,11 +22,11 @@
 import type { EndpointState } from "./endpoint_state.ts";
 import { EngineChooser } from "./engine_chooser.ts";
 import { PlainChooser } from "./plain_chooser.ts";
+import { RefusalKind } from "./refusal.ts";
 import { PrefillModel } from "./prefill_model.ts";
 import {
   type AdmissionDecision,
   type Grant,
-  RefusalKind,
   ServiceScheduler,
 } from "./service_scheduler.ts";
 import { ShareMeter } from "./share_meter.ts";
--- a/packages/forwarding/src/scheduling/waiting_queue.ts
+++ b/packages/forwarding/src/scheduling/waiting_queue.ts
@@ -1,12 +1,12 @@
 /** Orders the requests of one service that wait for an endpoint. */
 
 import type { Deferred } from "@rattanvane/base";
-import type { ForwardedCall } from "../model/call.ts";
+import type { SchedulableCall } from "../model/call.ts";
 import { ShareUsage } from "./share_meter.ts";
 
 /** A waiting request; `Decision` is the type of the result it waits for. */
 export interface WaitingEntry<Decision> {
-  call: ForwardedCall;
+  call: SchedulableCall;
   /** Ids of endpoints that failed the request before. */
   avoid: ReadonlySet<string>;
   /** Monotonic time at which the request was queued, in milliseconds. */
--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -3,7 +3,7 @@
 import type { Clock, Logger } from "@rattanvane/base";
 import type { SuspectRegistry } from "@rattanvane/limits";
 import type { EndpointId } from "@rattanvane/protocol";
-import type { ForwardedCall } from "../model/call.ts";
+import type { SchedulableCall } from "../model/call.ts";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 
 /** A crash must be confirmed within this time after the connection broke. */
@@ -43,7 +43,7 @@
   }
 
   /** Registers an attempt that is about to be sent. */
-  registerAttempt(endpoint: EndpointId, call: ForwardedCall): TrackedAttempt {
+  registerAttempt(endpoint: EndpointId, call: SchedulableCall): TrackedAttempt {
     this.#sequence++;
     return {
       endpoint,
