--- a/packages/base/src/common/child_abort.ts
+++ b/packages/base/src/common/child_abort.ts
@@ -9,6 +9,12 @@
   return controller;
 }
 
+/**
+ * Used for all aborts: without a reason, each of them would create an exception
+ * with its stack trace.
+ */
+const ABORT_REASON = new Error("The operation was aborted by its owner");
+
 /** An abort controller linked to a parent signal; its listener is removed on abort. */
 export class ChildAbort {
   readonly #controller = createLifetime();
@@ -18,7 +24,7 @@
   constructor(parent: AbortSignal) {
     this.#parent = parent;
     if (parent.aborted) {
-      this.#controller.abort();
+      this.#controller.abort(ABORT_REASON);
       return;
     }
     parent.addEventListener("abort", this.#onParentAbort, { once: true });
@@ -32,6 +38,6 @@
   /** Aborts this signal and removes the listener from the parent. */
   abort(): void {
     this.#parent.removeEventListener("abort", this.#onParentAbort);
-    this.#controller.abort();
+    this.#controller.abort(ABORT_REASON);
   }
 }
--- a/packages/base/src/common/clock.ts
+++ b/packages/base/src/common/clock.ts
@@ -41,13 +41,25 @@
 
 interface Timer {
   dueAt: number;
+  isDone: boolean;
   fire: () => void;
 }
 
 /** A clock for tests that advances only on request. */
 export class ManualClock extends Clock {
+  readonly #resolutionMilliseconds: number;
+  /** The pending timers by the time at which they are due. */
+  readonly #timers = new Map<number, Timer[]>();
   #now = 0;
-  #timers: Timer[] = [];
+
+  /**
+   * With a resolution above 0, timers that are due within the same interval of
+   * that length fire together, which simulates many timers faster.
+   */
+  constructor(resolutionMilliseconds = 0) {
+    super();
+    this.#resolutionMilliseconds = resolutionMilliseconds;
+  }
 
   override now(): number {
     return this.#now;
@@ -62,13 +74,14 @@
       return Promise.resolve();
     }
     return new Promise((resolve) => {
-      const onAbort = () => this.#fire(timer);
+      const onAbort = () => fireOnce(timer);
       const fire = () => {
         signal.removeEventListener("abort", onAbort);
         resolve();
       };
-      const timer = { dueAt: this.#now + milliseconds, fire };
-      this.#timers.push(timer);
+      const dueAt = this.#round(this.#now + milliseconds);
+      const timer = { dueAt, isDone: false, fire };
+      this.#addTimer(timer);
       signal.addEventListener("abort", onAbort, { once: true });
     });
   }
@@ -77,33 +90,64 @@
   async advance(milliseconds: number): Promise<void> {
     const target = this.#now + milliseconds;
     for (;;) {
-      const next = this.#findNextTimer(target);
-      if (next === undefined) {
+      const dueAt = this.#findNextDueTime(target);
+      if (dueAt === undefined) {
         break;
       }
-      this.#now = Math.max(this.#now, next.dueAt);
-      this.#fire(next);
-      await settle();
+      this.#now = Math.max(this.#now, dueAt);
+      await this.#fireDue(dueAt);
     }
     this.#now = target;
     await settle();
   }
 
-  #findNextTimer(target: number): Timer | undefined {
-    let next: Timer | undefined;
-    for (const timer of this.#timers) {
-      if (timer.dueAt > target) {
-        continue;
-      }
-      if (next === undefined || timer.dueAt < next.dueAt) {
-        next = timer;
+  #round(dueAt: number): number {
+    const resolution = this.#resolutionMilliseconds;
+    return resolution === 0
+      ? dueAt
+      : Math.ceil(dueAt / resolution) * resolution;
+  }
+
+  #addTimer(timer: Timer): void {
+    const timers = this.#timers.get(timer.dueAt);
+    if (timers === undefined) {
+      this.#timers.set(timer.dueAt, [timer]);
+    } else {
+      timers.push(timer);
+    }
+  }
+
+  #findNextDueTime(target: number): number | undefined {
+    let next: number | undefined;
+    for (const dueAt of this.#timers.keys()) {
+      if (dueAt <= target && (next === undefined || dueAt < next)) {
+        next = dueAt;
       }
     }
     return next;
   }
 
-  #fire(timer: Timer): void {
-    this.#timers = this.#timers.filter((other) => other !== timer);
+  /** Fires the timers of one time, each by itself without a resolution. */
+  async #fireDue(dueAt: number): Promise<void> {
+    const timers = this.#timers.get(dueAt) ?? [];
+    this.#timers.delete(dueAt);
+    if (this.#resolutionMilliseconds > 0) {
+      timers.forEach(fireOnce);
+      await settle();
+      return;
+    }
+    for (const timer of timers) {
+      if (!timer.isDone) {
+        fireOnce(timer);
+        await settle();
+      }
+    }
+  }
+}
+
+function fireOnce(timer: Timer): void {
+  if (!timer.isDone) {
+    timer.isDone = true;
     timer.fire();
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -0,0 +1,360 @@
+/** Connects this VM with the others: membership, roles, state and tables. */
+
+import type { Clock, Logger, RandomSource } from "@rattanvane/base";
+import type { SuspectRegistry } from "@rattanvane/limits";
+import {
+  DEFAULT_MEMBERSHIP_SETTINGS,
+  Membership,
+} from "@rattanvane/membership";
+import type { TableFeed } from "@rattanvane/platform";
+import {
+  type ForwardingStateMessage,
+  type MembershipMessage,
+  type MemberSyncMessage,
+  type Message,
+  MessageKind,
+  PeerNetwork,
+  type VmContact,
+  type VmId,
+} from "@rattanvane/protocol";
+import type { Admission } from "../admission/admission.ts";
+import {
+  AdmissionServer,
+  type AdoptedAttempt,
+} from "../admission/admission_server.ts";
+import { RemoteAdmission } from "../admission/remote_admission.ts";
+import { SchedulerSelector } from "../admission/scheduler_selector.ts";
+import type { ForwardingSettings } from "../forwarding_settings.ts";
+import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
+import type { ShareMeter } from "../scheduling/share_meter.ts";
+import type { FleetState } from "../state/fleet_state.ts";
+import { digestSchedulers, MemberSync } from "./member_sync.ts";
+import { MembershipGossip } from "./membership_gossip.ts";
+import { SchedulerDirectory } from "./scheduler_directory.ts";
+import { SchedulerRoles } from "./scheduler_roles.ts";
+import { StateExchange } from "./state_exchange.ts";
+import { TableDistributor } from "./table_distributor.ts";
+import { VmList } from "./vm_list.ts";
+
+/** The connections to the other VMs. */
+export type ControlNetwork = Pick<
+  PeerNetwork,
+  "start" | "send" | "registerContact" | "linkChanges"
+>;
+
+/** Handles a message from another VM. */
+export type ReceiveMessage = (from: VmId, message: Message) => void;
+
+/** Dependencies and settings of {@link FleetControl}. */
+export interface FleetControlOptions {
+  settings: ForwardingSettings;
+  feed: TableFeed;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  suspects: SuspectRegistry;
+  shares: ShareMeter;
+  state: FleetState;
+  /** Decides on requests that this VM schedules. */
+  localAdmission: Admission;
+  listSchedulers: () => Iterable<ServiceScheduler>;
+  /** Counts a running attempt at an endpoint; undefined if it is not known. */
+  adoptAttempt: (endpoint: string) => AdoptedAttempt | undefined;
+  /** Creates the connections; by default over TCP. */
+  createNetwork?: (receive: ReceiveMessage) => ControlNetwork;
+}
+
+/** Runs this VM's part in the fleet, as a scheduler or as a member. */
+export class FleetControl {
+  /** Admits requests, with the help of a scheduler if this VM is not one. */
+  readonly admission: Admission;
+  readonly #options: FleetControlOptions;
+  readonly #network: ControlNetwork;
+  readonly #membership: Membership;
+  readonly #roles: SchedulerRoles;
+  readonly #directory: SchedulerDirectory;
+  readonly #selector: SchedulerSelector;
+  readonly #remote: RemoteAdmission;
+  readonly #server: AdmissionServer;
+  readonly #tables: TableDistributor;
+  readonly #exchange: StateExchange;
+  readonly #sync: MemberSync;
+  readonly #vmList: VmList;
+  /** The schedulers of other zones, as this VM's scheduler named them. */
+  #namedSchedulers: readonly VmContact[] = [];
+
+  constructor(options: FleetControlOptions, signal: AbortSignal) {
+    this.#options = options;
+    const { settings, clock, logger, state } = options;
+    const { self } = settings;
+    this.#network = this.#createNetwork();
+    const sender = this.#network;
+    this.#membership = new Membership({
+      ...options,
+      self,
+      sender,
+      logger: logger.forPart("membership"),
+      settings: { ...DEFAULT_MEMBERSHIP_SETTINGS, peers: [] },
+      gossip: new MembershipGossip(),
+    });
+    this.#roles = new SchedulerRoles({
+      self,
+      members: this.#membership,
+      zones: settings.zones.length,
+      clock,
+      logger: logger.forPart("membership"),
+    });
+    this.#directory = new SchedulerDirectory({
+      self,
+      roles: this.#roles,
+      members: this.#membership,
+      otherZones: settings.zones.filter((zone) => zone !== self.zone),
+      clock,
+    });
+    this.#selector = new SchedulerSelector({
+      self: self.vm,
+      clock,
+      logger: logger.forPart("scheduler"),
+      isScheduler: () => this.#roles.isScheduler,
+      listZoneSchedulers: () => this.#roles.schedulers,
+      listOtherSchedulers: () => this.#namedSchedulers,
+    });
+    this.#remote = new RemoteAdmission({
+      self: self.vm,
+      selector: this.#selector,
+      local: options.localAdmission,
+      sender,
+      clock,
+      logger: logger.forPart("scheduler"),
+      isClosed: (endpoint) => state.directory.isClosed(endpoint),
+    }, signal);
+    this.admission = this.#remote;
+    this.#server = new AdmissionServer({
+      admission: options.localAdmission,
+      sender,
+      clock,
+      logger: logger.forPart("scheduler"),
+      adoptAttempt: options.adoptAttempt,
+    });
+    this.#tables = new TableDistributor({
+      replicas: [state.configuration, state.endpoints],
+      sender,
+      clock,
+      logger: logger.forPart("peers"),
+      listMembers: () => this.#server.listMembers(),
+      isAfterOutage: () => state.directory.isHoldingRemovals,
+      holdRemovals: () => state.directory.scheduleRemovals(),
+    });
+    this.#exchange = this.#createExchange();
+    this.#sync = new MemberSync({
+      selector: this.#selector,
+      admission: this.#remote,
+      tables: this.#tables,
+      freshness: state.configuration.freshness,
+      sender,
+      clock,
+      logger: logger.forPart("peers"),
+    });
+    this.#vmList = new VmList({
+      ...options,
+      self,
+      logger: logger.forPart("membership"),
+      isScheduler: () => this.#roles.isScheduler,
+      isAnswering: (vm) =>
+        this.#membership.listAnswering(self.zone).some((known) =>
+          known.vm === vm
+        ),
+      addContacts: (contacts) => this.#membership.addSeeds(contacts),
+    });
+  }
+
+  /** Listens for other VMs; throws when the port is in use. */
+  async start(signal: AbortSignal): Promise<void> {
+    this.updateSeeds(this.#options.settings.seeds);
+    this.#roles.start(signal);
+    this.#tables.start(signal);
+    this.#network.linkChanges.listen(({ vm, connected }) => {
+      if (!connected && vm === this.#selector.current) {
+        this.#selector.recordLoss(vm, "the connection broke");
+      }
+    }, signal);
+    this.#sync.schedulerLists.listen((schedulers) => {
+      this.#namedSchedulers = schedulers;
+    }, signal);
+    await this.#network.start(signal);
+  }
+
+  /** Takes part in the fleet until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.#vmList.run(signal),
+      this.#membership.run(signal),
+      this.#exchange.run(signal),
+      this.#sync.run(signal),
+      this.#server.run(signal),
+    ]);
+  }
+
+  /** Adds seed VMs to connect to. */
+  updateSeeds(seeds: readonly VmContact[]): void {
+    this.#membership.addSeeds(seeds);
+  }
+
+  /** Sends this VM's state to the other schedulers before the period ends. */
+  sendSoon(): void {
+    this.#exchange.sendSoon();
+  }
+
+  /** Announces that this VM leaves, and gives up the role of a scheduler. */
+  async leave(signal: AbortSignal): Promise<void> {
+    this.#membership.announceLeave();
+    this.#roles.refresh();
+    await this.#vmList.removeSelf(signal);
+  }
+
+  /** Whether this VM schedules requests. */
+  get isScheduler(): boolean {
+    return this.#roles.isScheduler;
+  }
+
+  /** Counts the schedulers that sent their state recently. */
+  countLiveSchedulers(): number {
+    return this.#exchange.countLive();
+  }
+
+  /** Counts the VMs whose requests this one schedules. */
+  countMembers(): number {
+    return this.#server.members;
+  }
+
+  /** Counts the fleet's VMs; infinite while their number is not known. */
+  countVms(): number {
+    const known = Math.max(
+      this.#directory.countVms(),
+      this.#sync.fleetVms,
+    );
+    const listed = this.#vmList.size;
+    if (listed !== undefined) {
+      return Math.max(known, listed);
+    }
+    return this.#sync.fleetVms > 0 ? known : Infinity;
+  }
+
+  /**
+   * Counts the VMs among which limits of the whole fleet are divided; infinite
+   * while this VM must not spend any part of them.
+   */
+  countLimitSharers(): number {
+    return this.#roles.computeLimitSharers(this.countVms());
+  }
+
+  #createNetwork(): ControlNetwork {
+    const { settings, logger, createNetwork } = this.#options;
+    const receive: ReceiveMessage = (from, message) =>
+      this.#receive(from, message);
+    return createNetwork?.(receive) ?? new PeerNetwork({
+      ...this.#options,
+      self: settings.self,
+      listen: settings.control,
+      fleetKeys: settings.fleetKeys,
+      logger: logger.forPart("protocol"),
+      receive,
+    });
+  }
+
+  #createExchange(): StateExchange {
+    const { state, logger } = this.#options;
+    return new StateExchange({
+      ...this.#options,
+      sender: this.#network,
+      logger: logger.forPart("peers"),
+      configuration: state.configuration,
+      endpoints: state.endpoints,
+      tables: this.#tables,
+      isScheduler: () => this.#roles.isScheduler,
+      listPeers: () => this.#directory.listPeers(),
+      listZoneSchedulers: () => this.#roles.schedulers,
+      countZoneVms: () => this.#roles.zoneVms,
+    });
+  }
+
+  #receive(from: VmId, message: Message): void {
+    switch (message.kind) {
+      case MessageKind.Probe:
+      case MessageKind.ProbeReply:
+      case MessageKind.IndirectProbe:
+      case MessageKind.IndirectProbeReply:
+        return this.#membership.handle(from, message as MembershipMessage);
+      case MessageKind.ForwardingState:
+        return this.#mergeState(from, message);
+      case MessageKind.ZoneSchedulers:
+        return this.#directory.recordZone(
+          message.schedulers[0]?.zone ?? "",
+          message,
+        );
+      case MessageKind.RequestTable:
+      case MessageKind.TableCopy:
+      case MessageKind.TableChanges:
+        return this.#tables.handle(from, message);
+      case MessageKind.MemberSync:
+        return this.#replyToSync(from, message);
+      case MessageKind.SubmitRequest:
+      case MessageKind.WithdrawRequest:
+      case MessageKind.AttemptAnswering:
+      case MessageKind.AttemptEnded:
+        return this.#server.handle(from, message);
+      case MessageKind.MemberSyncReply:
+        return this.#sync.handle(from, message);
+      case MessageKind.RequestQueued:
+      case MessageKind.GrantRequest:
+      case MessageKind.RefuseRequest:
+        return this.#remote.handle(from, message);
+      default:
+        this.#options.logger.warn(
+          "a message of an unexpected kind was ignored",
+          {
+            from,
+            kind: message.kind,
+          },
+        );
+    }
+  }
+
+  #mergeState(from: VmId, message: ForwardingStateMessage): void {
+    const { schedulers, zoneVms } = message;
+    const sender = schedulers?.find(({ vm }) => vm === from);
+    if (sender !== undefined && schedulers !== undefined) {
+      for (const contact of schedulers) {
+        this.#network.registerContact(contact);
+      }
+      this.#directory.recordZone(sender.zone, {
+        schedulers,
+        ...(zoneVms === undefined ? {} : { vms: zoneVms }),
+      });
+    }
+    if (this.#roles.isScheduler) {
+      this.#directory.recordSender(from);
+      this.#exchange.merge(from, message);
+      return;
+    }
+    this.#network.send(from, {
+      kind: MessageKind.ZoneSchedulers,
+      schedulers: [...this.#roles.schedulers],
+    });
+  }
+
+  #replyToSync(from: VmId, message: MemberSyncMessage): void {
+    this.#server.handle(from, message);
+    const schedulers = this.#directory.listOtherZones();
+    const isListed = digestSchedulers(schedulers) === message.schedulersDigest;
+    const vms = this.countVms();
+    this.#network.send(from, {
+      kind: MessageKind.MemberSyncReply,
+      sequence: message.sequence,
+      isScheduler: this.#roles.isScheduler,
+      fleetVms: Number.isFinite(vms) ? vms : 0,
+      tables: this.#tables.listAges(),
+      ...(isListed ? {} : { schedulers }),
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/fleet/scheduler_roles.ts
@@ -0,0 +1,146 @@
+/** Decides which VMs of a zone are schedulers. */
+
+import {
+  type Clock,
+  Emitter,
+  type Logger,
+  RendezvousScores,
+} from "@rattanvane/base";
+import type { ZoneView } from "@rattanvane/membership";
+import type { VmContact, VmId } from "@rattanvane/protocol";
+
+/**
+ * The number of schedulers in the fleet, approximately. Schedulers exchange
+ * their state pairwise, so that the traffic grows with the square.
+ */
+const FLEET_SCHEDULERS = 10;
+const MIN_SCHEDULERS_PER_ZONE = 2;
+const RANKING_KEY = "scheduler";
+/**
+ * How long a VM has to be a scheduler before it spends fleet-wide limits. A
+ * predecessor that lost the role has stopped by then.
+ */
+const SETTLING_MILLISECONDS = 1_500;
+/** Schedulers beyond the regular number that may be active during a change. */
+const SURPLUS_SCHEDULERS = 2;
+
+/** Dependencies of {@link SchedulerRoles}. */
+export interface SchedulerRolesOptions {
+  self: VmContact;
+  members: ZoneView;
+  /** The number of zones in the fleet. */
+  zones: number;
+  clock: Clock;
+  logger: Logger;
+}
+
+/**
+ * Assigns the role of scheduler to the largest VMs of this VM's zone, by
+ * processor capacity and then by rendezvous hashing. VMs with the same view of
+ * the zone assign the same roles.
+ */
+export class SchedulerRoles {
+  /** Emits when the schedulers of this VM's zone have changed. */
+  readonly changes = new Emitter<void>();
+  readonly #options: SchedulerRolesOptions;
+  readonly #schedulersPerZone: number;
+  readonly #scores = new RendezvousScores();
+  #schedulers: VmContact[] = [];
+  #isSelfScheduler = false;
+  #assignedAt = -Infinity;
+
+  constructor(options: SchedulerRolesOptions) {
+    this.#options = options;
+    this.#schedulersPerZone = computeSchedulersPerZone(options.zones);
+    this.#update();
+  }
+
+  /** Follows the changes of the zone until the signal aborts. */
+  start(signal: AbortSignal): void {
+    this.#options.members.changes.listen(() => this.#update(), signal);
+  }
+
+  /** Assigns the roles again; call it when this VM begins to leave. */
+  refresh(): void {
+    this.#update();
+  }
+
+  /** The schedulers of this VM's zone, the highest rank first. */
+  get schedulers(): readonly VmContact[] {
+    return this.#schedulers;
+  }
+
+  /** Whether this VM is a scheduler. */
+  get isScheduler(): boolean {
+    return this.#isSelfScheduler;
+  }
+
+  /** The number of live VMs in this VM's zone. */
+  get zoneVms(): number {
+    const { members, self } = this.#options;
+    return members.listLive(self.zone).length;
+  }
+
+  /**
+   * The number of VMs among which limits of the whole fleet are divided;
+   * infinite while this VM must not spend any part of them.
+   */
+  computeLimitSharers(fleetVms: number): number {
+    const { clock, zones } = this.#options;
+    const isSettled = this.#isSelfScheduler &&
+      clock.now() - this.#assignedAt >= SETTLING_MILLISECONDS;
+    if (!isSettled) {
+      return Infinity;
+    }
+    const regular = this.#schedulersPerZone * zones;
+    return fleetVms <= regular ? fleetVms : regular + SURPLUS_SCHEDULERS;
+  }
+
+  #update(): void {
+    const { members, self, clock } = this.#options;
+    const ranked = this.#rank(members.listLive(self.zone));
+    const schedulers = ranked.slice(0, this.#schedulersPerZone);
+    if (haveSameVms(schedulers, this.#schedulers)) {
+      return;
+    }
+    this.#schedulers = schedulers;
+    const isScheduler = schedulers.some(({ vm }) => vm === self.vm);
+    if (isScheduler !== this.#isSelfScheduler) {
+      this.#isSelfScheduler = isScheduler;
+      this.#assignedAt = clock.now();
+    }
+    this.#options.logger.info("schedulers of this zone changed", {
+      schedulers: schedulers.map(({ vm }) => vm).join(","),
+      isScheduler,
+      zoneVms: ranked.length,
+    });
+    this.changes.emit();
+  }
+
+  #rank(vms: readonly VmContact[]): VmContact[] {
+    return [...vms].sort((first, second) =>
+      (second.capacity ?? 0) - (first.capacity ?? 0) ||
+      this.#computeScore(second.vm) - this.#computeScore(first.vm)
+    );
+  }
+
+  #computeScore(vm: VmId): number {
+    return this.#scores.compute(RANKING_KEY, vm);
+  }
+}
+
+/** Computes how many VMs of each zone are schedulers. */
+export function computeSchedulersPerZone(zones: number): number {
+  return Math.max(
+    MIN_SCHEDULERS_PER_ZONE,
+    Math.floor(FLEET_SCHEDULERS / Math.max(1, zones)),
+  );
+}
+
+function haveSameVms(
+  first: readonly VmContact[],
+  second: readonly VmContact[],
+): boolean {
+  return first.length === second.length &&
+    first.every(({ vm }, index) => vm === second[index]?.vm);
+}
--- a/packages/forwarding/src/peers/peer_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -1,20 +1,20 @@
-/** Exchange of soft state between the VMs of the fleet. */
+/** Exchange of soft state between the schedulers of the fleet. */
 
 import { ChildAbort, type Clock, type Logger } from "@rattanvane/base";
 import type { SuspectRegistry } from "@rattanvane/limits";
 import {
   type EndpointUse,
-  type ForwardingMessage,
   type ForwardingStateMessage,
   MessageKind,
   type MessageSender,
-  type TableCopyMessage,
+  type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
 import type { ClockReading } from "../state/freshness.ts";
 import type { TableReplica } from "../state/table_replica.ts";
 import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
 import type { ShareMeter } from "../scheduling/share_meter.ts";
+import { buildAge, type TableDistributor } from "./table_distributor.ts";
 
 const EXCHANGE_PERIOD_MILLISECONDS = 100;
 /** Minimum time between two messages, however often sends are requested. */
@@ -25,16 +25,19 @@
 const SEND_TIMES_CAPACITY = 128;
 /** A peer counts as live for this time after its last message. */
 const LIVENESS_MILLISECONDS = 1_500;
-/** Minimum time between two requests for a copy of the same table. */
-const TABLE_REQUEST_INTERVAL_MILLISECONDS = 300;
+/**
+ * A starting VM regards itself as a scheduler until it has heard of the others,
+ * and sends nothing before it had time to.
+ */
+const START_DELAY_MILLISECONDS = 300;
 
 interface PeerState {
   lastReceivedAt: number;
   lastSequence: number;
 }
 
-/** Dependencies of a {@link PeerExchange}. */
-export interface PeerExchangeOptions {
+/** Dependencies of a {@link StateExchange}. */
+export interface StateExchangeOptions {
   sender: MessageSender;
   clock: Clock;
   logger: Logger;
@@ -42,20 +45,25 @@
   shares: ShareMeter;
   configuration: TableReplica;
   endpoints: TableReplica;
+  tables: TableDistributor;
+  /** Whether this VM is a scheduler; others send and merge no state. */
+  isScheduler: () => boolean;
   listPeers: () => Iterable<VmId>;
   listSchedulers: () => Iterable<ServiceScheduler>;
+  /** The schedulers of this VM's zone. */
+  listZoneSchedulers: () => readonly VmContact[];
+  countZoneVms: () => number;
 }
 
-/** Exchanges soft state with every peer periodically. */
-export class PeerExchange {
-  readonly #options: PeerExchangeOptions;
+/** Sends this VM's state to every other scheduler periodically. */
+export class StateExchange {
+  readonly #options: StateExchangeOptions;
   readonly #peers = new Map<VmId, PeerState>();
   readonly #sendTimes = new Map<number, ClockReading>();
   #sequence = 0;
-  readonly #tableRequestedAt = new Map<string, number>();
   #intervalAbort: ChildAbort | undefined;
 
-  constructor(options: PeerExchangeOptions) {
+  constructor(options: StateExchangeOptions) {
     this.#options = options;
   }
 
@@ -76,9 +84,11 @@
 
   /** Sends this VM's state until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, listPeers } = this.#options;
+    const { clock, listPeers, isScheduler } = this.#options;
+    await clock.sleep(START_DELAY_MILLISECONDS, signal);
     while (!signal.aborted) {
-      const peers = [...listPeers()];
+      const peers = isScheduler() ? [...listPeers()] : [];
+      this.#removeSilentPeers();
       this.#sendAll(peers);
       const scale = Math.max(1, peers.length / PEERS_AT_FULL_RATE);
       await clock.sleep(MIN_INTERVAL_MILLISECONDS * scale, signal);
@@ -91,19 +101,37 @@
     }
   }
 
-  /** Handles a message from a peer. */
-  handle(from: VmId, message: ForwardingMessage): void {
-    switch (message.kind) {
-      case MessageKind.ForwardingState:
-        return this.#mergeState(from, message);
-      case MessageKind.RequestTable:
-        return this.#sendTableCopy(from, message.table);
-      case MessageKind.TableCopy:
-        return this.#mergeTableCopy(from, message);
+  /** Merges the state of another scheduler. */
+  merge(from: VmId, message: ForwardingStateMessage): void {
+    const { clock, shares, suspects } = this.#options;
+    this.#peers.set(from, {
+      lastReceivedAt: clock.now(),
+      lastSequence: message.sequence,
+    });
+    const uses = new Map(message.endpoints.map((use) => [use.endpoint, use]));
+    for (const scheduler of this.#options.listSchedulers()) {
+      scheduler.mergePeer(from, uses);
+    }
+    shares.mergePeer(from, message.organisations);
+    if (message.suspects.length > 0) {
+      suspects.merge(message.suspects);
+    }
+    this.#mergeAges(from, message);
+  }
+
+  #removeSilentPeers(): void {
+    const earliest = this.#options.clock.now() - LIVENESS_MILLISECONDS;
+    for (const [vm, { lastReceivedAt }] of this.#peers) {
+      if (lastReceivedAt < earliest) {
+        this.#peers.delete(vm);
+      }
     }
   }
 
   #sendAll(peers: readonly VmId[]): void {
+    if (peers.length === 0) {
+      return;
+    }
     const { sender, configuration } = this.#options;
     this.#sequence++;
     const sendTime = configuration.freshness.readClocks();
@@ -127,8 +155,8 @@
         }
       }
     }
-    const age = configuration.freshness.computeAge();
-    const hasConfiguration = configuration.version >= 0 && Number.isFinite(age);
+    const configurationAge = buildAge(configuration);
+    const registrations = buildAge(this.#options.endpoints);
     return {
       kind: MessageKind.ForwardingState,
       sequence: this.#sequence,
@@ -136,107 +164,25 @@
       endpoints,
       organisations: shares.listLocal(),
       suspects: suspects.listSuspects(),
-      ...(hasConfiguration
-        ? {
-          configuration: {
-            version: configuration.version,
-            digest: configuration.digest,
-            ageMilliseconds: Math.ceil(age),
-          },
-        }
-        : {}),
+      schedulers: [...this.#options.listZoneSchedulers()],
+      zoneVms: this.#options.countZoneVms(),
+      ...(configurationAge === undefined
+        ? {}
+        : { configuration: configurationAge }),
+      ...(registrations === undefined ? {} : { registrations }),
     };
   }
 
-  #mergeState(from: VmId, message: ForwardingStateMessage): void {
-    const { clock, shares, suspects } = this.#options;
-    this.#peers.set(from, {
-      lastReceivedAt: clock.now(),
-      lastSequence: message.sequence,
-    });
-    const uses = new Map(message.endpoints.map((use) => [use.endpoint, use]));
-    for (const scheduler of this.#options.listSchedulers()) {
-      scheduler.mergePeer(from, uses);
+  #mergeAges(from: VmId, message: ForwardingStateMessage): void {
+    const { configuration, endpoints, tables } = this.#options;
+    const sentAt = this.#sendTimes.get(message.echo);
+    if (message.configuration !== undefined) {
+      const { table } = configuration;
+      tables.mergeAge(from, { table, ...message.configuration }, sentAt);
     }
-    shares.mergePeer(from, message.organisations);
-    if (message.suspects.length > 0) {
-      suspects.merge(message.suspects);
-    }
-    this.#mergeConfiguration(from, message);
-    if (!this.#options.endpoints.connected) {
-      this.#requestTable(from, this.#options.endpoints);
-    }
-  }
-
-  #mergeTableCopy(from: VmId, copy: TableCopyMessage): void {
-    const replica = this.#findReplica(copy.table);
-    if (replica === undefined || copy.version <= replica.version) {
-      return;
+    if (message.registrations !== undefined) {
+      const { table } = endpoints;
+      tables.mergeAge(from, { table, ...message.registrations }, sentAt);
     }
-    this.#options.logger.info("accepted a peer's copy of a table", {
-      from,
-      table: copy.table,
-      version: copy.version,
-      former: replica.version,
-    });
-    replica.mergeCopy(copy);
-  }
-
-  #findReplica(table: string): TableReplica | undefined {
-    const { configuration, endpoints } = this.#options;
-    return [configuration, endpoints].find((replica) =>
-      replica.table === table
-    );
-  }
-
-  /**
-   * The peer reported its age after it had received the message that it echoes.
-   * Counting the age from when that message was sent therefore never makes the
-   * configuration seem newer than it is.
-   */
-  #mergeConfiguration(from: VmId, message: ForwardingStateMessage): void {
-    const { configuration } = this.#options;
-    const reported = message.configuration;
-    const sendTime = this.#sendTimes.get(message.echo);
-    if (reported === undefined) {
-      return;
-    }
-    const isSame = reported.digest === configuration.digest;
-    if (isSame || reported.version <= configuration.version) {
-      if (sendTime !== undefined && configuration.version >= 0) {
-        configuration.freshness.confirm(sendTime, reported.ageMilliseconds);
-      }
-      return;
-    }
-    if (!configuration.connected || configuration.version < 0) {
-      this.#requestTable(from, configuration);
-    }
-  }
-
-  #requestTable(from: VmId, { table }: TableReplica): void {
-    const { clock, sender } = this.#options;
-    const now = clock.now();
-    const requestedAt = this.#tableRequestedAt.get(table) ?? -Infinity;
-    if (now - requestedAt >= TABLE_REQUEST_INTERVAL_MILLISECONDS) {
-      this.#tableRequestedAt.set(table, now);
-      sender.send(from, { kind: MessageKind.RequestTable, table });
-    }
-  }
-
-  #sendTableCopy(to: VmId, table: string): void {
-    const replica = this.#findReplica(table);
-    if (replica === undefined || replica.version < 0) {
-      return;
-    }
-    this.#options.sender.send(to, {
-      kind: MessageKind.TableCopy,
-      table,
-      version: replica.version,
-      rows: replica.listRows().map(({ key, version, value }) => ({
-        key,
-        version,
-        value,
-      })),
-    });
   }
 }
--- a/packages/forwarding/src/peers/peer_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -1,7 +1,11 @@
-import { createSilentLogger, ManualClock } from "@rattanvane/base";
+import {
+  createSilentLogger,
+  ManualClock,
+  RandomSource,
+} from "@rattanvane/base";
 import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
 import {
-  type ForwardingMessage,
+  type ForwardingStateMessage,
   type Message,
   MessageKind,
   MessageSender,
@@ -12,7 +16,11 @@
 import { TableReplica } from "../state/table_replica.ts";
 import { ShareMeter } from "../scheduling/share_meter.ts";
 import { MemoryFeed } from "../testing/memory_feed.ts";
-import { PeerExchange } from "./peer_exchange.ts";
+import { StateExchange } from "./state_exchange.ts";
+import { TableDistributor } from "./table_distributor.ts";
+
+/** The exchange begins after 300 ms. */
+const START_MILLISECONDS = 301;
 
 interface Sent {
   to: VmId;
@@ -39,31 +47,56 @@
       table,
       feed: new MemoryFeed(),
       clock,
+      random: new RandomSource(1),
       logger: createSilentLogger(),
       waitMilliseconds: 100,
+      isPolling: () => true,
+      maxUnpolledAgeMilliseconds: Infinity,
     });
   const configuration = createReplica("operator");
+  const endpoints = createReplica("endpoints");
+  const tables = new TableDistributor({
+    replicas: [configuration, endpoints],
+    sender,
+    clock,
+    logger: createSilentLogger(),
+    listMembers: () => [],
+    isAfterOutage: () => false,
+    holdRemovals: () => {},
+  });
   const suspects = new SuspectRegistry(clock, DEFAULT_SUSPECT_SETTINGS);
-  const exchange = new PeerExchange({
+  const exchange = new StateExchange({
     sender,
     clock,
     logger: createSilentLogger(),
     suspects,
     shares: new ShareMeter({ clock, periodMilliseconds: 4_000 }),
     configuration,
-    endpoints: createReplica("endpoints"),
+    endpoints,
+    tables,
+    isScheduler: () => true,
     listPeers: () => ["vm-2"],
     listSchedulers: () => [],
+    listZoneSchedulers: () => [],
+    countZoneVms: () => 2,
   });
   const lifetime = new AbortController();
   void exchange.run(lifetime.signal);
-  return { clock, sender, configuration, suspects, exchange, lifetime };
+  return {
+    clock,
+    sender,
+    configuration,
+    suspects,
+    exchange,
+    tables,
+    lifetime,
+  };
 }
 
 function buildState(
   echo: number,
-  changes: Partial<ForwardingMessage> = {},
-): ForwardingMessage {
+  changes: Partial<ForwardingStateMessage> = {},
+): ForwardingStateMessage {
   return {
     kind: MessageKind.ForwardingState,
     sequence: 1,
@@ -72,7 +105,7 @@
     organisations: [],
     suspects: [],
     ...changes,
-  } as ForwardingMessage;
+  };
 }
 
 function findLastSequence({ sent }: RecordingSender): number {
@@ -81,16 +114,16 @@
   return states.at(-1)?.sequence ?? 0;
 }
 
-describe("PeerExchange", () => {
+describe("StateExchange", () => {
   it("measures a peer's reported age from when the echoed message was sent", async () => {
     const fixture = createExchange();
     fixture.configuration.mergeCopy({ version: 5, rows: [] });
-    await fixture.clock.advance(1);
+    await fixture.clock.advance(START_MILLISECONDS);
     const echo = findLastSequence(fixture.sender);
     await fixture.clock.advance(400);
     const { digest } = fixture.configuration;
     const reported = { version: 5, digest, ageMilliseconds: 30 };
-    fixture.exchange.handle(
+    fixture.exchange.merge(
       "vm-2",
       buildState(echo, { configuration: reported }),
     );
@@ -101,11 +134,11 @@
   it("ignores a reported age that echoes none of this VM's messages", async () => {
     const fixture = createExchange();
     fixture.configuration.mergeCopy({ version: 5, rows: [] });
-    await fixture.clock.advance(1);
+    await fixture.clock.advance(START_MILLISECONDS);
     const { digest } = fixture.configuration;
     const reported = { version: 5, digest, ageMilliseconds: 0 };
-    fixture.exchange.handle("vm-2", buildState(0, { configuration: reported }));
-    fixture.exchange.handle(
+    fixture.exchange.merge("vm-2", buildState(0, { configuration: reported }));
+    fixture.exchange.merge(
       "vm-2",
       buildState(999, { configuration: reported }),
     );
@@ -117,10 +150,10 @@
     const fixture = createExchange();
     await fixture.clock.advance(1);
     const reported = { version: 9, digest: "other", ageMilliseconds: 0 };
-    fixture.exchange.handle("vm-2", buildState(1, { configuration: reported }));
+    fixture.exchange.merge("vm-2", buildState(1, { configuration: reported }));
     const kinds = fixture.sender.sent.map(({ message }) => message.kind);
     expect(kinds).to.include(MessageKind.RequestTable);
-    fixture.exchange.handle("vm-2", {
+    fixture.tables.handle("vm-2", {
       kind: MessageKind.TableCopy,
       table: "operator",
       version: 9,
@@ -134,7 +167,7 @@
   it("sends its copy to a peer on request, but not before it has one", () => {
     const fixture = createExchange();
     const requestCopy = () =>
-      fixture.exchange.handle("vm-3", {
+      fixture.tables.handle("vm-3", {
         kind: MessageKind.RequestTable,
         table: "operator",
       });
@@ -155,7 +188,7 @@
       crashedAttempts: ["a", "b"],
       ageMilliseconds: 10,
     }];
-    fixture.exchange.handle("vm-2", buildState(0, { suspects }));
+    fixture.exchange.merge("vm-2", buildState(0, { suspects }));
     expect(fixture.suspects.isQuarantined("f")).to.equal(true);
     fixture.lifetime.abort();
   });
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -27,7 +27,7 @@
 import type { ForwardedCall } from "./model/call.ts";
 import type { Dialect } from "./model/dialect.ts";
 import type { RouteTable } from "./model/route_table.ts";
-import { FleetPeers } from "./peers/fleet_peers.ts";
+import { FleetControl } from "./fleet/fleet_control.ts";
 import { EndpointProber } from "./scheduling/endpoint_prober.ts";
 import { ShareMeter } from "./scheduling/share_meter.ts";
 import { ServiceRegistry } from "./service_registry.ts";
@@ -74,8 +74,7 @@
   readonly #shares: ShareMeter;
   readonly #services: ServiceRegistry;
   readonly #crashes: CrashTracker;
-  readonly #peers: FleetPeers;
-  readonly #admission: LocalAdmission;
+  readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
@@ -107,38 +106,34 @@
       feed,
       decoder: options.decoder,
       clock,
+      random: this.#random,
       logger: logger.forPart("beliefs"),
       maxKeyAgeMilliseconds: bounds.revocationMilliseconds -
         REVOCATION_MARGIN_MILLISECONDS,
+      isPolling: () => this.#fleet.isScheduler,
     });
     this.#transport = new EndpointTransport(settings.callers.host, signal);
     this.#services = new ServiceRegistry({
       clock,
       random: this.#random,
       logger: logger.forPart("scheduler"),
-      notifyPeers: () => this.#peers.sendSoon(),
+      notifyPeers: () => this.#fleet.sendSoon(),
       bounds,
       directory: this.#state.directory,
       shares: this.#shares,
       crashes: this.#crashes,
-      countVms: () => this.#peers.countVms(),
+      countVms: () => this.#fleet.countLimitSharers(),
       closeConnections: (address) => this.#transport.closeConnections(address),
     }, signal);
-    this.#admission = new LocalAdmission({
-      clock,
-      shares: this.#shares,
-      suspects: this.#suspects,
-      crashes: this.#crashes,
-      findRuntime: (service) => this.#services.find(service),
-    });
     this.#prober = new EndpointProber({
       clock,
       logger: logger.forPart("scheduler"),
+      isScheduler: () => this.#fleet.isScheduler,
       listServices: () => this.#services.listProbeTargets(),
       checkHealth: (endpoint, path, limit) =>
         readHealth(endpoint, { path, transport: this.#transport }, limit),
     });
-    this.#peers = new FleetPeers({
+    this.#fleet = new FleetControl({
       settings,
       feed,
       clock,
@@ -146,10 +141,17 @@
       logger,
       suspects: this.#suspects,
       shares: this.#shares,
-      configuration: this.#state.configuration,
-      endpoints: this.#state.endpoints,
+      state: this.#state,
+      localAdmission: new LocalAdmission({
+        clock,
+        shares: this.#shares,
+        suspects: this.#suspects,
+        crashes: this.#crashes,
+        findRuntime: (service) => this.#services.find(service),
+      }),
       listSchedulers: () => this.#services.listSchedulers(),
-    });
+      adoptAttempt: (endpoint) => this.#services.adoptAttempt(endpoint),
+    }, signal);
     this.#ingress = this.#createIngress();
     this.#readiness = new ReadinessServer({
       listen: settings.readiness,
@@ -177,17 +179,17 @@
 
   /** Adds seed VMs to connect to. */
   updateSeeds(seeds: readonly VmContact[]): void {
-    this.#peers.updateSeeds(seeds);
+    this.#fleet.updateSeeds(seeds);
   }
 
   async #start(): Promise<void> {
     const { settings, logger } = this.#options;
     const { signal } = this.#lifetime;
     this.#subscribeToState();
-    await this.#peers.start(signal);
+    await this.#fleet.start(signal);
     this.#runTask("beliefs", this.#state.run(signal));
     this.#runTask("endpoint prober", this.#prober.run(signal));
-    this.#runTask("peers", this.#peers.run(signal));
+    this.#runTask("fleet control", this.#fleet.run(signal));
     await this.#readiness.start(signal);
     await this.#ingress.start(signal);
     logger.info("listening", {
@@ -234,7 +236,7 @@
       FORCED_CLOSE_MARGIN_MILLISECONDS;
     this.#phase = RouterPhase.ShuttingDown;
     logger.info("shutting down", { active: this.#ingress.active });
-    void this.#peers.leave(this.#lifetime.signal);
+    void this.#fleet.leave(this.#lifetime.signal);
     await this.#waitUntil(
       () => false,
       Math.min(startedAt + BALANCER_REACTION_MILLISECONDS, endsAt),
@@ -301,8 +303,8 @@
       dialect: this.#options.dialect,
       transport: this.#transport,
       metrics: this.#metrics,
-      admission: this.#admission,
-      countVms: () => this.#peers.countVms(),
+      admission: this.#fleet.admission,
+      countVms: () => this.#fleet.countVms(),
     }, {
       call,
       answer,
@@ -332,7 +334,9 @@
       computeConfigurationAgeSeconds: () =>
         this.#state.configuration.freshness.computeAge() /
         MILLISECONDS_PER_SECOND,
-      countPeers: () => this.#peers.countLive(),
+      countPeers: () => this.#fleet.countLiveSchedulers(),
+      countMembers: () => this.#fleet.countMembers(),
+      countSchedulerRoles: () => this.#fleet.isScheduler ? 1 : 0,
     });
   }
 
--- a/packages/forwarding/src/forwarding_settings.ts
+++ b/packages/forwarding/src/forwarding_settings.ts
@@ -31,6 +31,8 @@
 export interface ForwardingSettings {
   self: VmContact;
   zone: ZoneId;
+  /** The zones of the fleet, this VM's one included. */
+  zones: ZoneId[];
   /** Where callers' requests are received. */
   callers: ListenAddress;
   readiness: ListenAddress;
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -42,6 +42,8 @@
   readConfigurationVersion: () => number;
   computeConfigurationAgeSeconds: () => number;
   countPeers: () => number;
+  countMembers: () => number;
+  countSchedulerRoles: () => number;
 }
 
 /** Records the metrics of one VM in its own registry. */
@@ -131,8 +133,16 @@
       "How long ago the configuration was known to be current.",
       { read: gauges.computeConfigurationAgeSeconds },
     );
-    this.#addGauge("live_peers", "Other VMs that were heard of lately.", {
-      read: gauges.countPeers,
+    this.#addGauge(
+      "live_peers",
+      "Other schedulers that sent their state recently.",
+      { read: gauges.countPeers },
+    );
+    this.#addGauge("members", "Other VMs whose requests this VM schedules.", {
+      read: gauges.countMembers,
+    });
+    this.#addGauge("scheduler_role", "1 if this VM is a scheduler, else 0.", {
+      read: gauges.countSchedulerRoles,
     });
   }
 
--- a/packages/forwarding/src/metrics/operations_page_test.ts
+++ b/packages/forwarding/src/metrics/operations_page_test.ts
@@ -21,6 +21,8 @@
       readConfigurationVersion: () => 0,
       computeConfigurationAgeSeconds: () => 0,
       countPeers: () => 0,
+      countMembers: () => 0,
+      countSchedulerRoles: () => 0,
     });
     const registered = await metrics.registry.getMetricsAsJSON();
     const listed = listRows(/^\| `rattanvane_/);
--- a/packages/forwarding/src/scheduling/endpoint_prober.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober.ts
@@ -24,6 +24,8 @@
 export interface EndpointProberOptions {
   clock: Clock;
   logger: Logger;
+  /** Whether this VM probes; the others learn of it from schedulers. */
+  isScheduler: () => boolean;
   listServices: () => Iterable<ProbedService>;
   checkHealth: CheckHealth;
 }
@@ -43,8 +45,10 @@
   /** Probes endpoints periodically until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      for (const service of this.#options.listServices()) {
-        this.#probeDownEndpoints(service, signal);
+      if (this.#options.isScheduler()) {
+        for (const service of this.#options.listServices()) {
+          this.#probeDownEndpoints(service, signal);
+        }
       }
       await this.#options.clock.sleep(PROBE_PERIOD_MILLISECONDS, signal);
     }
--- a/packages/forwarding/src/scheduling/endpoint_prober_test.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober_test.ts
@@ -1,4 +1,5 @@
 import {
+  createLifetime,
   createSilentLogger,
   ManualClock,
   RandomSource,
@@ -24,6 +25,7 @@
       notifyPeers: () => {},
       coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: 30 },
       countVms: () => 1,
+      signal: createLifetime().signal,
     });
     const down = scheduler.updateEndpoint(buildEndpoint("down"), true);
     scheduler.updateEndpoint(buildEndpoint("up"), true);
@@ -34,6 +36,7 @@
     const prober = new EndpointProber({
       clock,
       logger: createSilentLogger(),
+      isScheduler: () => true,
       listServices: () => [{ scheduler, healthPath: "/healthz" }],
       checkHealth: ({ record }) => {
         probed.push(record.id);
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -108,6 +108,17 @@
     return attempt;
   }
 
+  /** Adds an attempt that was sent earlier and is past its prefill. */
+  adoptAttempt(): LocalAttempt {
+    const attempt = {
+      work: { tokens: 0, pairs: 0 },
+      isPrefilling: false,
+      sentAt: -Infinity,
+    };
+    this.#activeAttempts.add(attempt);
+    return attempt;
+  }
+
   /** Records that an attempt's response has begun. */
   markResponding(attempt: LocalAttempt): void {
     this.coldStart.recordResponseStart();
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -73,6 +73,8 @@
   coldBound: ColdBound;
   /** Counts the VMs among which fleet-wide limits are divided. */
   countVms: () => number;
+  /** An abort stops the periodic passes over the queue. */
+  signal: AbortSignal;
 }
 
 /** Assigns the requests of one service at this VM to its endpoints. */
@@ -83,7 +85,7 @@
   readonly #refusalPolicy: RefusalPolicy;
   readonly #spareCapacity = new SpareCapacityController();
   readonly #queue = new WaitingQueue<AdmissionDecision>();
-  #timer: ReturnType<typeof setTimeout> | undefined;
+  #isPassScheduled = false;
 
   constructor(options: ServiceSchedulerOptions) {
     this.service = options.service.name;
@@ -179,6 +181,10 @@
     this.#endpoints.delete(id);
   }
 
+  findEndpoint(id: string): EndpointState | undefined {
+    return this.#endpoints.get(id);
+  }
+
   /** Lists all endpoints, including closed ones. */
   listEndpoints(): Iterable<EndpointState> {
     return this.#endpoints.values();
@@ -374,12 +380,20 @@
   }
 
   #scheduleQueuePass(): void {
-    if (this.#queue.size === 0 || this.#timer !== undefined) {
-      return;
+    if (this.#queue.size > 0 && !this.#isPassScheduled) {
+      this.#isPassScheduled = true;
+      void this.#runScheduledPass();
     }
-    this.#timer = setTimeout(() => {
-      this.#timer = undefined;
+  }
+
+  async #runScheduledPass(): Promise<void> {
+    await this.#options.clock.sleep(
+      QUEUE_PASS_INTERVAL_MILLISECONDS,
+      this.#options.signal,
+    );
+    this.#isPassScheduled = false;
+    if (!this.#options.signal.aborted) {
       this.#processQueue();
-    }, QUEUE_PASS_INTERVAL_MILLISECONDS);
+    }
   }
 }
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -47,6 +47,7 @@
     notifyPeers: () => {},
     coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: 30 },
     countVms: () => 3,
+    signal: createLifetime().signal,
   });
   scheduler.updateEndpoint(buildEndpoint("e1", { slots }), true);
   return { clock, shares, scheduler };
@@ -315,6 +316,7 @@
     notifyPeers: () => {},
     coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: Infinity },
     countVms: () => 1,
+    signal: createLifetime().signal,
   });
   scheduler.updateEndpoint(buildEndpoint("e1"), true);
   return { ...base, scheduler, countChoices: () => chooser.choices };
--- a/packages/forwarding/src/service_registry.ts
+++ b/packages/forwarding/src/service_registry.ts
@@ -1,13 +1,14 @@
 /** Registry of the services to which this VM forwards requests. */
 
 import type { Clock, Logger, RandomSource } from "@rattanvane/base";
-import type { ServiceId, ZoneId } from "@rattanvane/protocol";
+import type { EndpointId, ServiceId, ZoneId } from "@rattanvane/protocol";
 import type { CrashTracker } from "./state/crash_tracker.ts";
 import {
   type DirectoryChange,
   DirectoryChangeKind,
   type EndpointDirectory,
 } from "./state/endpoint_directory.ts";
+import type { EndpointRecord } from "./model/endpoint_record.ts";
 import type { FleetBounds } from "./forwarding_settings.ts";
 import type {
   ForwardedService,
@@ -25,6 +26,7 @@
 
 /** Assumed prefill time of a prompt token until it has been measured. */
 const INITIAL_MILLISECONDS_PER_TOKEN = 0.01;
+const CLOCK_MARGIN_MILLISECONDS = 10_000;
 
 /** A service with its scheduler, retry budget and prefill model. */
 export interface ServiceRuntime {
@@ -54,10 +56,12 @@
 /** Creates a scheduler for each service and keeps its endpoints up to date. */
 export class ServiceRegistry {
   readonly #options: ServiceRegistryOptions;
+  readonly #signal: AbortSignal;
   readonly #runtimes = new Map<ServiceId, ServiceRuntime>();
 
   constructor(options: ServiceRegistryOptions, signal: AbortSignal) {
     this.#options = options;
+    this.#signal = signal;
     options.directory.changes.listen(
       (change) => this.#applyChange(change),
       signal,
@@ -81,6 +85,21 @@
     }
   }
 
+  /**
+   * Counts an attempt that another scheduler granted at an endpoint; undefined
+   * if the endpoint is not known.
+   */
+  adoptAttempt(id: EndpointId): { end: () => void } | undefined {
+    for (const { scheduler } of this.#runtimes.values()) {
+      const endpoint = scheduler.findEndpoint(id);
+      if (endpoint !== undefined) {
+        const attempt = endpoint.adoptAttempt();
+        return { end: () => endpoint.removeAttempt(attempt) };
+      }
+    }
+    return undefined;
+  }
+
   /**
    * Adds the services of a configuration. Services that it no longer contains
    * are kept, so that their requests can finish.
@@ -118,21 +137,35 @@
       service,
       chooser: createChooser(service, model),
       coldBound: computeColdBound(service, bounds),
+      signal: this.#signal,
     });
     const retries = new RetryAllowance(clock, bounds.retries);
     this.#runtimes.set(service.name, { service, scheduler, retries, model });
     for (const record of directory.listService(service.name)) {
       const endpoint = scheduler.updateEndpoint(record, false);
-      const age = clock.wallTime() - record.startedAtUnixMilliseconds;
+      if (this.#hasStartedRecently(record, service)) {
+        endpoint.coldStart.recordStart(service.coldMilliseconds);
+      }
       if (record.coldMilliseconds > 0) {
         endpoint.coldStart.markCold(record.coldMilliseconds);
-      } else if (age < service.coldMilliseconds) {
-        endpoint.coldStart.markCold(service.coldMilliseconds);
       }
       scheduler.updateEndpoint(record, directory.isAvailable(record.id));
     }
   }
 
+  /**
+   * Whether an endpoint may have started so recently that it is cold. The
+   * margin covers differences between the VMs' clocks.
+   */
+  #hasStartedRecently(
+    { startedAtUnixMilliseconds }: EndpointRecord,
+    { coldMilliseconds }: ForwardedService,
+  ): boolean {
+    const age = this.#options.clock.wallTime() - startedAtUnixMilliseconds;
+    return startedAtUnixMilliseconds === 0 ||
+      age < coldMilliseconds + CLOCK_MARGIN_MILLISECONDS;
+  }
+
   #applyChange({ kind, entry }: DirectoryChange): void {
     const { directory, crashes, closeConnections } = this.#options;
     const { record } = entry;
@@ -148,7 +181,10 @@
     // The endpoint stays unavailable until its cold state is known, so that no
     // request is granted before its rate is limited.
     const endpoint = runtime.scheduler.updateEndpoint(record, false);
-    if (kind === DirectoryChangeKind.Started) {
+    const isNewProcess = kind === DirectoryChangeKind.Started ||
+      kind === DirectoryChangeKind.Discovered &&
+        this.#hasStartedRecently(record, runtime.service);
+    if (isNewProcess) {
       endpoint.restart();
       endpoint.coldStart.recordStart(runtime.service.coldMilliseconds);
       crashes.confirmCrash(record.id);
--- a/packages/forwarding/src/state/endpoint_directory.ts
+++ b/packages/forwarding/src/state/endpoint_directory.ts
@@ -9,6 +9,8 @@
 
 /** After a store outage, live endpoints register again within this time. */
 const REREGISTRATION_MILLISECONDS = 2_100;
+/** How long removed endpoints are remembered as such. */
+const REMOVAL_MEMORY_MILLISECONDS = 60_000;
 
 /** The last registration of an endpoint. */
 export interface DirectoryEntry {
@@ -19,7 +21,9 @@
 
 /** Kind of a directory change. */
 export enum DirectoryChangeKind {
-  /** The endpoint is new or has restarted. */
+  /** This VM did not know the endpoint. */
+  Discovered = "discovered",
+  /** The endpoint has restarted. */
   Started = "started",
   Updated = "updated",
   Removed = "removed",
@@ -47,6 +51,7 @@
   readonly #options: EndpointDirectoryOptions;
   readonly #entries = new Map<EndpointId, DirectoryEntry>();
   readonly #heldRemovals = new Set<EndpointId>();
+  readonly #removedAt = new Map<EndpointId, number>();
   readonly #drainedZones = new Set<ZoneId>();
   #removalsHeldUntil = -Infinity;
 
@@ -57,6 +62,7 @@
   /** Adds or updates the registration of an endpoint. */
   update(record: EndpointRecord): void {
     this.#heldRemovals.delete(record.id);
+    this.#removedAt.delete(record.id);
     const previous = this.#entries.get(record.id);
     const entry = { record, receivedAt: this.#options.clock.now() };
     this.#entries.set(record.id, entry);
@@ -68,10 +74,7 @@
     if (!isSameProcess || previous.record.phase !== record.phase) {
       this.#log("endpoint registered", record);
     }
-    const kind = isSameProcess
-      ? DirectoryChangeKind.Updated
-      : DirectoryChangeKind.Started;
-    this.changes.emit({ kind, entry });
+    this.changes.emit({ kind: pickKind(previous, isSameProcess), entry });
   }
 
   /**
@@ -83,7 +86,7 @@
     if (entry === undefined) {
       return;
     }
-    if (this.#options.clock.now() < this.#removalsHeldUntil) {
+    if (this.isHoldingRemovals) {
       this.#heldRemovals.add(id);
       return;
     }
@@ -101,9 +104,15 @@
       REREGISTRATION_MILLISECONDS;
   }
 
+  /** Whether removals are held back. */
+  get isHoldingRemovals(): boolean {
+    return this.#options.clock.now() < this.#removalsHeldUntil;
+  }
+
   /** Removes the endpoints that did not register again in time. */
   removeExpired(): void {
-    if (this.#options.clock.now() < this.#removalsHeldUntil) {
+    this.#forgetRemovals();
+    if (this.isHoldingRemovals) {
       return;
     }
     for (const id of this.#heldRemovals) {
@@ -140,6 +149,13 @@
       !this.#drainedZones.has(record.zone);
   }
 
+  /** Whether an endpoint is known not to accept new requests. */
+  isClosed(id: EndpointId): boolean {
+    return this.#entries.has(id)
+      ? !this.isAvailable(id)
+      : this.#removedAt.has(id);
+  }
+
   /** Lists all endpoints of a service, available or not. */
   listService(service: ServiceId): EndpointRecord[] {
     return [...this.#entries.values()]
@@ -149,10 +165,21 @@
 
   #removeEntry(id: EndpointId, entry: DirectoryEntry): void {
     this.#entries.delete(id);
+    this.#removedAt.set(id, this.#options.clock.now());
     this.#log("endpoint removed", entry.record);
     this.changes.emit({ kind: DirectoryChangeKind.Removed, entry });
   }
 
+  #forgetRemovals(): void {
+    const earliest = this.#options.clock.now() - REMOVAL_MEMORY_MILLISECONDS;
+    for (const [id, removedAt] of this.#removedAt) {
+      if (removedAt >= earliest) {
+        return;
+      }
+      this.#removedAt.delete(id);
+    }
+  }
+
   #log(message: string, record: EndpointRecord): void {
     this.#options.logger.info(message, {
       endpoint: record.id,
@@ -164,3 +191,15 @@
     });
   }
 }
+
+function pickKind(
+  previous: DirectoryEntry | undefined,
+  isSameProcess: boolean,
+): DirectoryChangeKind {
+  if (previous === undefined) {
+    return DirectoryChangeKind.Discovered;
+  }
+  return isSameProcess
+    ? DirectoryChangeKind.Updated
+    : DirectoryChangeKind.Started;
+}
--- a/packages/forwarding/src/state/endpoint_directory_test.ts
+++ b/packages/forwarding/src/state/endpoint_directory_test.ts
@@ -61,13 +61,28 @@
     expect(kinds.at(-1)).to.equal(DirectoryChangeKind.Removed);
   });
 
-  it("distinguishes a restart under the same id from an update", () => {
+  it("remembers for a while that an endpoint was removed", async () => {
+    const { clock, directory } = createDirectory();
+    expect(directory.isClosed("e1")).to.equal(false);
+    directory.update(buildEndpoint("e1"));
+    expect(directory.isClosed("e1")).to.equal(false);
+    directory.remove("e1");
+    expect(directory.isClosed("e1")).to.equal(true);
+    directory.update(buildEndpoint("e1"));
+    expect(directory.isClosed("e1")).to.equal(false);
+    directory.remove("e1");
+    await clock.advance(61_000);
+    directory.removeExpired();
+    expect(directory.isClosed("e1")).to.equal(false);
+  });
+
+  it("distinguishes a new endpoint, an update and a restart under the same id", () => {
     const { directory, kinds } = createDirectory();
     directory.update(buildEndpoint("e1"));
     directory.update(buildEndpoint("e1", { coldMilliseconds: 5 }));
     directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds: 2 }));
     expect(kinds).to.deep.equal([
-      DirectoryChangeKind.Started,
+      DirectoryChangeKind.Discovered,
       DirectoryChangeKind.Updated,
       DirectoryChangeKind.Started,
     ]);
--- a/packages/forwarding/src/state/fleet_state.ts
+++ b/packages/forwarding/src/state/fleet_state.ts
@@ -1,6 +1,11 @@
 /** This VM's replicated view of configuration, endpoints and zone drains. */
 
-import { type Clock, Emitter, type Logger } from "@rattanvane/base";
+import {
+  type Clock,
+  Emitter,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
 import type { TableFeed } from "@rattanvane/platform";
 import type { ZoneId } from "@rattanvane/protocol";
 import { RouteTable } from "../model/route_table.ts";
@@ -8,9 +13,14 @@
 import type { RowDecoder } from "./row_decoder.ts";
 import { type RowChange, TableReplica } from "./table_replica.ts";
 
-const CONFIGURATION_POLL_TIMEOUT_MILLISECONDS = 1_200;
-const ENDPOINTS_POLL_TIMEOUT_MILLISECONDS = 1_800;
+const CONFIGURATION_POLL_TIMEOUT_MILLISECONDS = 1_250;
+const ENDPOINTS_POLL_TIMEOUT_MILLISECONDS = 1_250;
 const EXPIRY_CHECK_INTERVAL_MILLISECONDS = 100;
+/**
+ * A VM that gets the changes from a scheduler polls the store itself when they
+ * were not confirmed for this time.
+ */
+const MAX_UNPOLLED_AGE_MILLISECONDS = 2_000;
 /** How long a request waits for confirmation that the API keys are current. */
 const KEY_CONFIRMATION_TIMEOUT_MILLISECONDS = 60;
 const KEY_CONFIRMATION_POLL_MILLISECONDS = 5;
@@ -20,9 +30,12 @@
   feed: TableFeed;
   decoder: RowDecoder;
   clock: Clock;
+  random: RandomSource;
   logger: Logger;
   /** Maximum age of the last confirmation that the API keys are current. */
   maxKeyAgeMilliseconds: number;
+  /** Whether this VM follows the store itself, as schedulers do. */
+  isPolling: () => boolean;
 }
 
 /** Replicates the store's tables and decodes their rows. */
@@ -39,13 +52,17 @@
     const { decoder } = options;
     this.#options = options;
     this.directory = new EndpointDirectory(options);
-    this.configuration = new TableReplica({
+    const shared = {
       ...options,
+      maxUnpolledAgeMilliseconds: MAX_UNPOLLED_AGE_MILLISECONDS,
+    };
+    this.configuration = new TableReplica({
+      ...shared,
       table: decoder.tables.operator,
       waitMilliseconds: CONFIGURATION_POLL_TIMEOUT_MILLISECONDS,
     });
     this.endpoints = new TableReplica({
-      ...options,
+      ...shared,
       table: decoder.tables.endpoints,
       waitMilliseconds: ENDPOINTS_POLL_TIMEOUT_MILLISECONDS,
     });
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -1,26 +1,44 @@
 /** Local replica of one of the store's tables. */
 
-import { createHash } from "node:crypto";
-import { ChildAbort, type Clock, Emitter, type Logger } from "@rattanvane/base";
+import {
+  ChildAbort,
+  type Clock,
+  Emitter,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
 import {
   type FeedRow,
   PlatformErrorKind,
   type TableFeed,
 } from "@rattanvane/platform";
 import { Freshness } from "./freshness.ts";
+import { RowDigest } from "./row_digest.ts";
 
-const DIGEST_CHARACTERS = 16;
 const INITIAL_BACKOFF_MILLISECONDS = 40;
 const MAX_BACKOFF_MILLISECONDS = 400;
+/** VMs that follow another one are many, so they retry less often. */
+const MAX_FOLLOWER_BACKOFF_MILLISECONDS = 1_500;
+const WAIT_JITTER_FRACTION = 0.4;
+/** How often a VM that does not poll checks whether it has to. */
+const STALENESS_CHECK_MILLISECONDS = 100;
 
 /** Dependencies and settings of a {@link TableReplica}. */
 export interface TableReplicaOptions {
   table: string;
   feed: TableFeed;
   clock: Clock;
+  random: RandomSource;
   logger: Logger;
-  /** How long one long poll waits for changes. */
+  /** How long one long poll waits for changes at most. */
   waitMilliseconds: number;
+  /**
+   * Whether this VM polls the store all the time. Otherwise another VM sends it
+   * the changes, and it polls only when its copy has become too old.
+   */
+  isPolling: () => boolean;
+  /** The age from which a VM polls although another one sends it the changes. */
+  maxUnpolledAgeMilliseconds: number;
 }
 
 /** A row that was written or removed. */
@@ -35,15 +53,28 @@
   connected: boolean;
 }
 
+/** Changes that were applied together. */
+export interface TableUpdate {
+  /** The digest of the rows to which the changes apply. */
+  digestBefore: string;
+  /** The digest after the changes. */
+  digest: string;
+  version: number;
+  rows: readonly FeedRow[];
+  removedKeys: readonly string[];
+}
+
 /** Replicates one table by long polling and emits every change to it. */
 export class TableReplica {
   readonly freshness: Freshness;
   readonly changes = new Emitter<RowChange>();
+  /** Emits once for all changes that were applied together. */
+  readonly updates = new Emitter<TableUpdate>();
   readonly connectivityChanges = new Emitter<ConnectivityChange>();
   readonly #options: TableReplicaOptions;
   readonly #rows = new Map<string, FeedRow>();
+  readonly #digest = new RowDigest();
   #version = -1;
-  #digest = "";
   #connected = true;
   #consecutiveFailures = 0;
   /** The next poll returns at once instead of waiting for changes. */
@@ -69,9 +100,14 @@
     return this.#connected;
   }
 
+  /** Whether another VM's copy is needed when that is newer. */
+  get reliesOnCopies(): boolean {
+    return !this.#connected || this.#version < 0 || !this.#options.isPolling();
+  }
+
   /** A digest of the rows' keys and versions; equal for equal rows. */
   get digest(): string {
-    return this.#digest;
+    return this.#digest.text;
   }
 
   listRows(): FeedRow[] {
@@ -86,16 +122,44 @@
     }
   }
 
-  /** Replaces the rows by a peer's copy if that is newer. */
+  /** Replaces the rows by another VM's copy if that is newer. */
   mergeCopy(copy: { version: number; rows: readonly FeedRow[] }): void {
     if (copy.version > this.#version) {
       this.#replaceRows(copy);
     }
   }
 
+  /**
+   * Applies changes that another VM has read. Returns false if they do not
+   * apply to the rows of this replica.
+   */
+  mergeUpdate(update: TableUpdate): boolean {
+    if (update.digest === this.digest) {
+      this.#version = Math.max(this.#version, update.version);
+      return true;
+    }
+    if (this.#version < 0 || update.digestBefore !== this.digest) {
+      return false;
+    }
+    this.#applyChanges(update);
+    return this.digest === update.digest;
+  }
+
+  /** Records that these rows are complete up to a newer version. */
+  confirmVersion(version: number): void {
+    if (this.#version >= 0) {
+      this.#version = Math.max(this.#version, version);
+    }
+  }
+
   /** Replicates the table until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
     while (!signal.aborted) {
+      if (!this.#isPollDue()) {
+        await clock.sleep(STALENESS_CHECK_MILLISECONDS, signal);
+        continue;
+      }
       const pollAbort = new ChildAbort(signal);
       this.#pollAbort = pollAbort;
       const isSuccess = await this.#poll(pollAbort.signal);
@@ -103,54 +167,66 @@
       pollAbort.abort();
       this.#pollAbort = undefined;
       if (!isSuccess && !wasInterrupted) {
-        await this.#options.clock.sleep(this.#computeBackoff(), signal);
+        await clock.sleep(this.#computeBackoff(), signal);
       }
     }
   }
 
+  #isPollDue(): boolean {
+    const { isPolling, maxUnpolledAgeMilliseconds } = this.#options;
+    return isPolling() || this.#version < 0 ||
+      this.freshness.computeAge() > maxUnpolledAgeMilliseconds;
+  }
+
   async #poll(signal: AbortSignal): Promise<boolean> {
-    const sent = this.freshness.readClocks();
-    const isSuccess = this.#version < 0
+    return this.#version < 0
       ? await this.#readAll(signal)
       : await this.#readChanges(signal);
-    if (isSuccess) {
-      this.freshness.confirm(sent);
-    }
-    return isSuccess;
   }
 
   async #readAll(signal: AbortSignal): Promise<boolean> {
     const { feed, table } = this.#options;
+    const sent = this.freshness.readClocks();
     const snapshot = await feed.readTable(table, signal);
     if (snapshot.isErr()) {
       this.#recordFailure(snapshot.error.message, signal);
       return false;
     }
     this.#recordSuccess();
-    this.#replaceRows(snapshot.value);
+    if (snapshot.value.version >= this.#version) {
+      this.#replaceRows(snapshot.value);
+    }
+    this.freshness.confirm(sent);
     return true;
   }
 
   async #readChanges(signal: AbortSignal): Promise<boolean> {
-    const { feed, table } = this.#options;
-    const waitMilliseconds = this.#isRefreshRequested
+    const { feed, table, isPolling } = this.#options;
+    const waitMilliseconds = this.#isRefreshRequested || !isPolling()
       ? 0
-      : this.#options.waitMilliseconds;
+      : this.#computeWait();
     this.#isRefreshRequested = false;
     const position = { table, version: this.#version, waitMilliseconds };
-    const changes = await feed.waitForChanges(position, signal);
-    if (changes.isErr()) {
-      this.#handleFailure(changes.error.kind, changes.error.message, signal);
+    const sent = this.freshness.readClocks();
+    const result = await feed.waitForChanges(position, signal);
+    if (result.isErr()) {
+      this.#handleFailure(result.error.kind, result.error.message, signal);
       return false;
     }
     this.#recordSuccess();
-    for (const { key, row } of changes.value.changes) {
-      this.#applyRow(key, row);
-    }
-    if (changes.value.changes.length > 0) {
-      this.#updateDigest();
+    if (this.#version !== position.version) {
+      // A copy was merged meanwhile, for which a removal may be out of date.
+      this.#isRefreshRequested = true;
+      return true;
     }
-    this.#version = Math.max(this.#version, changes.value.version);
+    const { changes, version } = result.value;
+    const latest = new Map(changes.map(({ key, row }) => [key, row]));
+    const rows = [...latest.values()].filter((row) => row !== undefined);
+    const removedKeys = [...latest.keys()].filter((key) =>
+      latest.get(key) === undefined
+    );
+    this.#applyChanges({ rows, removedKeys, version });
+    this.freshness.confirm(sent);
     return true;
   }
 
@@ -176,41 +252,67 @@
   #replaceRows(
     copy: { version: number; rows: readonly FeedRow[] },
   ): void {
-    const presentKeys = new Set<string>();
-    for (const row of copy.rows) {
-      presentKeys.add(row.key);
-      this.#applyRow(row.key, row);
-    }
-    for (const key of [...this.#rows.keys()]) {
-      if (!presentKeys.has(key)) {
-        this.#applyRow(key, undefined);
-      }
-    }
+    const presentKeys = new Set(copy.rows.map(({ key }) => key));
+    const removedKeys = [...this.#rows.keys()].filter((key) =>
+      !presentKeys.has(key)
+    );
+    this.#applyChanges({
+      rows: copy.rows,
+      removedKeys,
+      version: copy.version,
+    });
     this.#version = copy.version;
-    this.#updateDigest();
   }
 
-  #applyRow(key: string, row: FeedRow | undefined): void {
-    const previous = this.#rows.get(key);
-    if (row === undefined) {
-      if (this.#rows.delete(key)) {
-        this.changes.emit({ key, value: undefined });
-      }
-      return;
+  #applyChanges(
+    changes: Pick<TableUpdate, "rows" | "removedKeys" | "version">,
+  ): void {
+    const digestBefore = this.digest;
+    const changedRows = changes.rows.filter((row) => this.#isNewer(row));
+    const removedKeys = changes.removedKeys.filter((key) =>
+      this.#rows.has(key)
+    );
+    for (const row of changedRows) {
+      this.#writeRow(row);
     }
-    if (previous !== undefined && previous.version >= row.version) {
-      return;
+    for (const key of removedKeys) {
+      this.#removeRow(key);
+    }
+    this.#version = Math.max(this.#version, changes.version);
+    for (const { key, value } of changedRows) {
+      this.changes.emit({ key, value });
     }
-    this.#rows.set(key, row);
-    this.changes.emit({ key, value: row.value });
+    for (const key of removedKeys) {
+      this.changes.emit({ key, value: undefined });
+    }
+    if (this.digest !== digestBefore) {
+      this.updates.emit({
+        digestBefore,
+        digest: this.digest,
+        version: this.#version,
+        rows: changedRows,
+        removedKeys,
+      });
+    }
+  }
+
+  #isNewer({ key, version }: FeedRow): boolean {
+    const previous = this.#rows.get(key);
+    return previous === undefined || previous.version < version;
   }
 
-  #updateDigest(): void {
-    const hash = createHash("sha256");
-    for (const key of [...this.#rows.keys()].sort()) {
-      hash.update(`${key}\n${this.#rows.get(key)?.version}\n`);
+  #writeRow(row: FeedRow): void {
+    this.#removeRow(row.key);
+    this.#rows.set(row.key, row);
+    this.#digest.add(row.key, row.version);
+  }
+
+  #removeRow(key: string): void {
+    const previous = this.#rows.get(key);
+    if (previous !== undefined) {
+      this.#rows.delete(key);
+      this.#digest.remove(key, previous.version);
     }
-    this.#digest = hash.digest("hex").slice(0, DIGEST_CHARACTERS);
   }
 
   #recordSuccess(): void {
@@ -243,9 +345,19 @@
     this.connectivityChanges.emit({ connected: false });
   }
 
+  /** Varies the waits, so that the polls of several VMs end at different times. */
+  #computeWait(): number {
+    const { waitMilliseconds, random } = this.#options;
+    return waitMilliseconds *
+      (1 - WAIT_JITTER_FRACTION * random.nextFraction());
+  }
+
   #computeBackoff(): number {
+    const limit = this.#options.isPolling()
+      ? MAX_BACKOFF_MILLISECONDS
+      : MAX_FOLLOWER_BACKOFF_MILLISECONDS;
     return Math.min(
-      MAX_BACKOFF_MILLISECONDS,
+      limit,
       INITIAL_BACKOFF_MILLISECONDS *
         2 ** Math.min(this.#consecutiveFailures, 10),
     );
--- a/packages/forwarding/src/state/table_replica_test.ts
+++ b/packages/forwarding/src/state/table_replica_test.ts
@@ -1,4 +1,8 @@
-import { createSilentLogger, SystemClock } from "@rattanvane/base";
+import {
+  createSilentLogger,
+  RandomSource,
+  SystemClock,
+} from "@rattanvane/base";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
 import { MemoryFeed } from "../testing/memory_feed.ts";
@@ -15,8 +19,11 @@
     table: TABLE,
     feed,
     clock: new SystemClock(),
+    random: new RandomSource(1),
     logger: createSilentLogger(),
     waitMilliseconds: 30,
+    isPolling: () => true,
+    maxUnpolledAgeMilliseconds: Infinity,
   });
   const observed = new Map<string, string | undefined>();
   replica.changes.listen(({ key, value }) => {
--- a/packages/forwarding/src/testing/memory_feed.ts
+++ b/packages/forwarding/src/testing/memory_feed.ts
@@ -9,10 +9,9 @@
   TableFeed,
   type TableSnapshot,
 } from "@rattanvane/platform";
+import { ChildAbort, type Clock, SystemClock } from "@rattanvane/base";
 import { err, ok, type Result } from "neverthrow";
 
-const POLL_INTERVAL_MILLISECONDS = 2;
-
 interface HistoryEntry extends FeedChange {
   table: string;
   version: number;
@@ -20,15 +19,33 @@
 
 /** Keeps tables and their change history in memory, for tests. */
 export class MemoryFeed extends TableFeed {
-  /** While set, every call fails as unavailable. */
-  isDown = false;
+  #isDown = false;
   /** Number of calls made through the feed contract. */
   calls = 0;
+  readonly #clock: Clock;
+  /** Ends the waits of long polls. */
+  readonly #waits = new Set<ChildAbort>();
   readonly #tables = new Map<string, Map<string, FeedRow>>();
   #history: HistoryEntry[] = [];
   #version = 0;
   #truncatedAtVersion = 0;
 
+  /** Creates an empty feed whose long polls last as long as the clock says. */
+  constructor(clock: Clock = new SystemClock()) {
+    super();
+    this.#clock = clock;
+  }
+
+  /** While set, every call fails as unavailable. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
+  set isDown(isDown: boolean) {
+    this.#isDown = isDown;
+    this.#endWaits();
+  }
+
   /** Writes a row directly, even while the feed is down. */
   put(table: string, key: string, value: object | string): void {
     this.#version++;
@@ -40,6 +57,7 @@
     };
     this.#findTable(table).set(key, row);
     this.#history.push({ table, version: this.#version, key, row });
+    this.#endWaits();
   }
 
   /** Removes a row directly, even while the feed is down. */
@@ -47,19 +65,21 @@
     this.#version++;
     this.#findTable(table).delete(key);
     this.#history.push({ table, version: this.#version, key, row: undefined });
+    this.#endWaits();
   }
 
   /** Discards the change history; reads from older versions fail. */
   truncateHistory(): void {
     this.#history = [];
     this.#truncatedAtVersion = this.#version;
+    this.#endWaits();
   }
 
   override readTable(
     table: string,
   ): Promise<Result<TableSnapshot, PlatformError>> {
     this.calls++;
-    if (this.isDown) {
+    if (this.#isDown) {
       return Promise.resolve(err(createUnavailableError()));
     }
     const rows = [...this.#findTable(table).values()];
@@ -71,9 +91,9 @@
     signal: AbortSignal,
   ): Promise<Result<TableChanges, PlatformError>> {
     this.calls++;
-    const endsAt = performance.now() + position.waitMilliseconds;
+    const endsAt = this.#clock.now() + position.waitMilliseconds;
     for (;;) {
-      if (this.isDown) {
+      if (this.#isDown) {
         return err(createUnavailableError());
       }
       if (position.version < this.#truncatedAtVersion) {
@@ -83,13 +103,15 @@
       const changes = this.#history.filter((change) =>
         change.table === position.table && change.version > position.version
       );
-      const hasExpired = performance.now() >= endsAt || signal.aborted;
+      const hasExpired = this.#clock.now() >= endsAt || signal.aborted;
       if (changes.length > 0 || hasExpired) {
         return ok({ changes, version: this.#version });
       }
-      await new Promise((resolve) =>
-        setTimeout(resolve, POLL_INTERVAL_MILLISECONDS)
-      );
+      const wait = new ChildAbort(signal);
+      this.#waits.add(wait);
+      await this.#clock.sleep(endsAt - this.#clock.now(), wait.signal);
+      this.#waits.delete(wait);
+      wait.abort();
     }
   }
 
@@ -97,7 +119,7 @@
     row: { table: string; key: string; value: Uint8Array },
   ): Promise<Result<void, PlatformError>> {
     this.calls++;
-    if (this.isDown) {
+    if (this.#isDown) {
       return Promise.resolve(err(createUnavailableError()));
     }
     this.put(row.table, row.key, new TextDecoder().decode(row.value));
@@ -108,13 +130,19 @@
     row: { table: string; key: string },
   ): Promise<Result<void, PlatformError>> {
     this.calls++;
-    if (this.isDown) {
+    if (this.#isDown) {
       return Promise.resolve(err(createUnavailableError()));
     }
     this.remove(row.table, row.key);
     return Promise.resolve(ok());
   }
 
+  #endWaits(): void {
+    for (const wait of this.#waits) {
+      wait.abort();
+    }
+  }
+
   #findTable(table: string): Map<string, FeedRow> {
     const rows = this.#tables.get(table) ?? new Map<string, FeedRow>();
     this.#tables.set(table, rows);
--- a/packages/forwarding/src/testing/router_harness.ts
+++ b/packages/forwarding/src/testing/router_harness.ts
@@ -247,6 +247,7 @@
       callerPort: callers ?? 0,
     },
     zone: "zone-a",
+    zones: ["zone-a"],
     callers: { host: LOOPBACK_HOST, port: callers ?? 0 },
     readiness: { host: LOOPBACK_HOST, port: readiness ?? 0 },
     readinessPath: "/ready",
--- /dev/null
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -0,0 +1,319 @@
+/** A fleet of VMs in one process, with a simulated clock and network. */
+
+import {
+  createLifetime,
+  createSilentLogger,
+  Emitter,
+  ManualClock,
+  RandomSource,
+} from "@rattanvane/base";
+import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
+import { FreezableClock, MemoryNetwork } from "@rattanvane/membership/testing";
+import {
+  type PlatformError,
+  type TableChanges,
+  TableFeed,
+  type TableSnapshot,
+} from "@rattanvane/platform";
+import {
+  encodeMessage,
+  type LinkChange,
+  type Message,
+  type VmContact,
+  type VmId,
+} from "@rattanvane/protocol";
+import type { Result } from "neverthrow";
+import { LocalAdmission } from "../admission/local_admission.ts";
+import { type ControlNetwork, FleetControl } from "../fleet/fleet_control.ts";
+import type { ForwardingSettings } from "../forwarding_settings.ts";
+import { ShareMeter } from "../scheduling/share_meter.ts";
+import { ServiceRegistry } from "../service_registry.ts";
+import { CrashTracker } from "../state/crash_tracker.ts";
+import { FleetState } from "../state/fleet_state.ts";
+import { buildConfiguration, buildEndpoint } from "./fixtures.ts";
+import { MemoryFeed } from "./memory_feed.ts";
+import { TestRowDecoder } from "./test_dialect.ts";
+
+const CLOCK_RESOLUTION_MILLISECONDS = 1;
+
+/** How much a VM has sent and asked of the store. */
+export interface VmTraffic {
+  messages: number;
+  bytes: number;
+  storeCalls: number;
+}
+
+/** A running VM of a {@link SimulatedFleet}. */
+export interface SimulatedVm {
+  contact: VmContact;
+  fleet: FleetControl;
+  state: FleetState;
+  services: ServiceRegistry;
+  shares: ShareMeter;
+  clock: FreezableClock;
+  feed: CountingFeed;
+  lifetime: AbortController;
+}
+
+/** The size and the random seed of a {@link SimulatedFleet}. */
+export interface SimulatedFleetOptions {
+  seed: number;
+  zones: number;
+  endpoints?: number;
+  latencyMilliseconds?: number;
+}
+
+/** Counts one VM's calls, which may be rejected, to the store of all VMs. */
+export class CountingFeed extends TableFeed {
+  calls = 0;
+  /** While set, the store rejects this VM's calls. */
+  isRejected = false;
+  readonly #store: MemoryFeed;
+  readonly #rejecting: MemoryFeed;
+
+  constructor(store: MemoryFeed) {
+    super();
+    this.#store = store;
+    this.#rejecting = new MemoryFeed();
+    this.#rejecting.isDown = true;
+  }
+
+  override readTable(
+    table: string,
+  ): Promise<Result<TableSnapshot, PlatformError>> {
+    return this.#pickFeed().readTable(table);
+  }
+
+  override waitForChanges(
+    position: { table: string; version: number; waitMilliseconds: number },
+    signal: AbortSignal,
+  ): Promise<Result<TableChanges, PlatformError>> {
+    return this.#pickFeed().waitForChanges(position, signal);
+  }
+
+  override writeRow(
+    row: { table: string; key: string; value: Uint8Array },
+  ): Promise<Result<void, PlatformError>> {
+    return this.#pickFeed().writeRow(row);
+  }
+
+  override removeRow(
+    row: { table: string; key: string },
+  ): Promise<Result<void, PlatformError>> {
+    return this.#pickFeed().removeRow(row);
+  }
+
+  #pickFeed(): MemoryFeed {
+    this.calls++;
+    return this.isRejected ? this.#rejecting : this.#store;
+  }
+}
+
+/** Starts, stops, freezes and separates VMs that run {@link FleetControl}. */
+export class SimulatedFleet {
+  readonly clock = new ManualClock(CLOCK_RESOLUTION_MILLISECONDS);
+  readonly store = new MemoryFeed(this.clock);
+  readonly network: MemoryNetwork;
+  readonly vms = new Map<VmId, SimulatedVm>();
+  readonly #random: RandomSource;
+  readonly #zones: string[];
+
+  constructor(options: SimulatedFleetOptions) {
+    this.#random = new RandomSource(options.seed);
+    this.#zones = Array.from(
+      { length: options.zones },
+      (_, index) => `zone-${index}`,
+    );
+    this.network = new MemoryNetwork({
+      clock: this.clock,
+      random: this.#random,
+      latencyMilliseconds: options.latencyMilliseconds ?? 0.5,
+      lossFraction: 0,
+      measureBytes: (message) => encodeMessage(message).length,
+    });
+    this.store.put("operator", "configuration", buildConfiguration());
+    for (let index = 0; index < (options.endpoints ?? 0); index++) {
+      const id = `endpoint-${index}`;
+      const zone = this.#zones[index % options.zones] as string;
+      this.store.put("endpoints", id, buildEndpoint(id, { zone }));
+    }
+  }
+
+  /** Starts VMs within 300 ms, spread over the zones in turn. */
+  async startAll(count: number): Promise<void> {
+    const contacts = Array.from(
+      { length: count },
+      (_, index) => this.buildContact(index),
+    );
+    const seeds = contacts.slice(0, 3);
+    const startAt = contacts.map(() => this.#random.nextInteger(0, 300))
+      .sort((first, second) => first - second);
+    let now = 0;
+    for (const [index, contact] of contacts.entries()) {
+      const wait = (startAt[index] as number) - now;
+      if (wait > 0) {
+        await this.clock.advance(wait);
+        now += wait;
+      }
+      this.start(contact, seeds);
+    }
+  }
+
+  /** Builds the contact of the VM with this number. */
+  buildContact(index: number): VmContact {
+    return {
+      vm: `vm-${index}`,
+      zone: this.#zones[index % this.#zones.length] as string,
+      host: `vm-${index}`,
+      controlPort: 1,
+      callerPort: 2,
+      capacity: 0.5,
+    };
+  }
+
+  /** Starts one VM. */
+  start(contact: VmContact, seeds: readonly VmContact[]): SimulatedVm {
+    const lifetime = createLifetime();
+    const { signal } = lifetime;
+    const clock = new FreezableClock(this.clock);
+    const feed = new CountingFeed(this.store);
+    const logger = createSilentLogger();
+    const random = new RandomSource(this.#random.nextInteger(1, 1 << 30));
+    const settings = this.#buildSettings(contact, seeds);
+    const suspects = new SuspectRegistry(clock, DEFAULT_SUSPECT_SETTINGS);
+    const shares = new ShareMeter({ clock, periodMilliseconds: 4_000 });
+    const state = new FleetState({
+      feed,
+      decoder: new TestRowDecoder(),
+      clock,
+      random,
+      logger,
+      maxKeyAgeMilliseconds: 4_600,
+      isPolling: () => fleet.isScheduler,
+    });
+    const crashes = new CrashTracker({
+      clock,
+      logger,
+      suspects,
+      vm: contact.vm,
+    });
+    const services = new ServiceRegistry({
+      clock,
+      random,
+      logger,
+      notifyPeers: () => fleet.sendSoon(),
+      bounds: settings.bounds,
+      directory: state.directory,
+      shares,
+      crashes,
+      countVms: () => fleet.countLimitSharers(),
+      closeConnections: () => {},
+    }, signal);
+    const fleet: FleetControl = new FleetControl({
+      settings,
+      feed,
+      clock,
+      random,
+      logger,
+      suspects,
+      shares,
+      state,
+      localAdmission: new LocalAdmission({
+        clock,
+        shares,
+        suspects,
+        crashes,
+        findRuntime: (service) => services.find(service),
+      }),
+      listSchedulers: () => services.listSchedulers(),
+      adoptAttempt: (endpoint) => services.adoptAttempt(endpoint),
+      createNetwork: (receive) => this.#connect(contact.vm, receive, clock),
+    }, signal);
+    state.routesChanged.listen(({ configuration }) => {
+      shares.updateCapacity(configuration.costPerSecond);
+      services.applyConfiguration(configuration);
+    }, signal);
+    void state.run(signal);
+    void fleet.start(signal).then(() => fleet.run(signal));
+    const vm = {
+      contact,
+      fleet,
+      state,
+      services,
+      shares,
+      clock,
+      feed,
+      lifetime,
+    };
+    this.vms.set(contact.vm, vm);
+    return vm;
+  }
+
+  /** Stops a VM without a word to the others. */
+  kill({ contact, lifetime }: SimulatedVm): void {
+    lifetime.abort();
+    this.network.disconnect(contact.vm);
+    this.vms.delete(contact.vm);
+  }
+
+  /** Returns what each VM has sent and asked so far. */
+  measureTraffic(): Map<VmId, VmTraffic> {
+    const traffic = new Map<VmId, VmTraffic>();
+    for (const [vm, { feed }] of this.vms) {
+      const { messages, bytes } = this.network.countTraffic(vm);
+      traffic.set(vm, { messages, bytes, storeCalls: feed.calls });
+    }
+    return traffic;
+  }
+
+  /** Stops all VMs. */
+  stop(): void {
+    for (const { lifetime } of this.vms.values()) {
+      lifetime.abort();
+    }
+  }
+
+  #connect(
+    vm: VmId,
+    receive: (from: VmId, message: Message) => void,
+    clock: FreezableClock,
+  ): ControlNetwork {
+    const sender = this.network.connect(vm, {
+      handle: receive,
+      ready: () => clock.waitForThaw(),
+      handlingMilliseconds: 0,
+    });
+    return {
+      start: () => Promise.resolve(),
+      send: (to, message) => sender.send(to, message),
+      registerContact: () => {},
+      linkChanges: new Emitter<LinkChange>(),
+    };
+  }
+
+  #buildSettings(
+    self: VmContact,
+    seeds: readonly VmContact[],
+  ): ForwardingSettings {
+    const listen = { host: self.host, port: self.controlPort };
+    return {
+      self,
+      zone: self.zone,
+      zones: this.#zones,
+      callers: listen,
+      readiness: listen,
+      readinessPath: "/ready",
+      control: listen,
+      seeds: seeds.map((seed) => ({ ...seed, zone: "" })),
+      fleetKeys: [],
+      bounds: {
+        revocationMilliseconds: 5_000,
+        retries: { windowMilliseconds: 10_000, ratio: 0.2, extra: 400 },
+        coldRateFactor: 1.5,
+        coldExtraRequestsPerSecond: 5,
+        sharePeriodMilliseconds: 4_000,
+        graceMilliseconds: 8_000,
+      },
+    };
+  }
+}
--- a/packages/membership/src/testing/memory_network.ts
+++ b/packages/membership/src/testing/memory_network.ts
@@ -1,6 +1,10 @@
 /** In-memory network with message loss, latency and partitions. */
 
-import type { Clock, RandomSource } from "@rattanvane/base";
+import {
+  type Clock,
+  createLifetime,
+  type RandomSource,
+} from "@rattanvane/base";
 import {
   type Message,
   MessageSender,
@@ -8,6 +12,8 @@
   type VmId,
 } from "@rattanvane/protocol";
 
+const NEVER_ABORTED = createLifetime().signal;
+
 /** Latency, loss and size measurement of a {@link MemoryNetwork}. */
 export interface MemoryNetworkOptions {
   clock: Clock;
@@ -91,8 +97,7 @@
   async #deliver(from: VmId, to: VmId, message: Message): Promise<void> {
     const { clock, latencyMilliseconds } = this.#options;
     const handling = this.#members.get(to)?.handlingMilliseconds ?? 0;
-    const { signal } = new AbortController();
-    await clock.sleep(latencyMilliseconds + handling, signal);
+    await clock.sleep(latencyMilliseconds + handling, NEVER_ABORTED);
     await this.#members.get(to)?.ready();
     const isPartitioned =
       this.#partitions.get(from) !== this.#partitions.get(to);
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -1,6 +1,6 @@
 /** Messages between VMs that serve forwarding routes. */
 
-import type { EndpointId, OrganisationId } from "./identifiers.ts";
+import type { EndpointId, OrganisationId, VmContact } from "./identifiers.ts";
 import type { SuspectFingerprint } from "./membership_messages.ts";
 import type { MessageKind } from "./message_kind.ts";
 
@@ -34,7 +34,7 @@
   ageMilliseconds: number;
 }
 
-/** Shares this VM's load, demand and crash observations with a peer. */
+/** Shares a scheduler's load, demand and crash observations with another. */
 export interface ForwardingStateMessage {
   kind: MessageKind.ForwardingState;
   sequence: number;
@@ -45,6 +45,12 @@
   suspects: SuspectFingerprint[];
   /** Unset until the table has been read. */
   configuration?: TableAge;
+  /** The same for the endpoints' registrations. */
+  registrations?: TableAge;
+  /** The schedulers of the sender's zone, this one included. */
+  schedulers?: VmContact[];
+  /** The number of live VMs in the sender's zone. */
+  zoneVms?: number;
 }
 
 /** Requests a peer's replica of a table. */
--- a/packages/protocol/src/identifiers.ts
+++ b/packages/protocol/src/identifiers.ts
@@ -41,6 +41,8 @@
   controlPort: number;
   /** The port for callers, at the same IP address. */
   callerPort: number;
+  /** Processor capacity in cores; 0 or unset if it is not known. */
+  capacity?: number;
 }
 
 /** Orders successive schedulers of a pool; compared by number, then by holder. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,6 @@
 /** Union types of the messages between routers. */
 
+import type * as admission from "./admission_messages.ts";
 import type * as configuration from "./configuration_messages.ts";
 import type * as forwarding from "./forwarding_messages.ts";
 import type * as key from "./key_messages.ts";
@@ -52,7 +53,24 @@
 export type ForwardingMessage =
   | forwarding.ForwardingStateMessage
   | forwarding.RequestTableMessage
-  | forwarding.TableCopyMessage;
+  | forwarding.TableCopyMessage
+  | admission.TableChangesMessage
+  | admission.ZoneSchedulersMessage;
+
+/** Messages from a member to the scheduler of its requests. */
+export type MemberMessage =
+  | admission.SubmitRequestMessage
+  | admission.WithdrawRequestMessage
+  | admission.AttemptAnsweringMessage
+  | admission.AttemptEndedMessage
+  | admission.MemberSyncMessage;
+
+/** Messages from a scheduler to a member. */
+export type AdmissionMessage =
+  | admission.RequestQueuedMessage
+  | admission.GrantRequestMessage
+  | admission.RefuseRequestMessage
+  | admission.MemberSyncReplyMessage;
 
 /** Any message between routers. */
 export type Message =
@@ -62,4 +80,6 @@
   | ConfigurationMessage
   | KeyMessage
   | RowMessage
-  | ForwardingMessage;
+  | ForwardingMessage
+  | MemberMessage
+  | AdmissionMessage;
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,5 +1,6 @@
 /** The internal protocol between routers. */
 
+export * from "./admission_messages.ts";
 export { decodeMessage, encodeMessage } from "./codec.ts";
 export * from "./configuration_messages.ts";
 export * from "./forwarding_messages.ts";
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -59,6 +59,17 @@
       case MessageKind.ForwardingState:
       case MessageKind.RequestTable:
       case MessageKind.TableCopy:
+      case MessageKind.TableChanges:
+      case MessageKind.ZoneSchedulers:
+      case MessageKind.SubmitRequest:
+      case MessageKind.WithdrawRequest:
+      case MessageKind.RequestQueued:
+      case MessageKind.GrantRequest:
+      case MessageKind.RefuseRequest:
+      case MessageKind.AttemptAnswering:
+      case MessageKind.AttemptEnded:
+      case MessageKind.MemberSync:
+      case MessageKind.MemberSyncReply:
         // Sent by VMs that serve forwarding routes, which this router does not.
         return;
       default:
