--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -41,7 +41,7 @@
 const MEMBERSHIP_SETTINGS: MembershipSettings = {
   ...DEFAULT_MEMBERSHIP_SETTINGS,
   peers: [],
-  probePeriodMilliseconds: 400,
+  probePeriodMilliseconds: 300,
   suspicionMilliseconds: 900,
 };
 
