Create one abort controller for a request instead of three

The body is read by events, and an event's id is read only when a stream is resumed; then the last id of all events counts, not only of those in the last chunk (test: 'keeps the last id when later events have none', failed before).

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -281,7 +281,7 @@
         this.#suspects.isQuarantined(call.fingerprint)
           ? RejectionKind.Quarantined
           : undefined,
-      serve: (call, answer, signal) => this.#serve(call, answer, signal),
+      serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
     });
   }
@@ -289,7 +289,7 @@
   async #serve(
     call: ForwardedCall,
     answer: CallerAnswer,
-    signal: AbortSignal,
+    lifetime: AbortController,
   ): Promise<void> {
     const runtime = this.#services.find(call.service);
     if (runtime === undefined) {
@@ -311,7 +311,7 @@
       retries: runtime.retries,
       configurationVersion: this.#state.routes?.configuration.version ?? 0,
     });
-    await run.run(signal);
+    await run.run(lifetime);
   }
 
   #describeNotReady(): string | undefined {
--- a/packages/forwarding/src/ingress/event_splitter.ts
+++ b/packages/forwarding/src/ingress/event_splitter.ts
@@ -3,7 +3,8 @@
 import { Buffer } from "node:buffer";
 
 const LINE_FEED = 0x0a;
-const EVENT_ID_PATTERN = /(?:^|\n)id: ?([^\n\r]*)/;
+const ID_FIELD = "id:";
+const EVENT_ID_PATTERN = /^id: ?([^\n\r]*)/gm;
 
 /**
  * Holds back incomplete events and records the id of the last complete one.
@@ -12,10 +13,13 @@
 export class EventSplitter {
   #incompleteEvent: Uint8Array = new Uint8Array();
   #lastEventId = "";
+  /** The latest complete events with an id; it has not been read yet. */
+  #unreadEvents: Uint8Array = new Uint8Array();
   #eventCount = 0;
 
   /** The id of the last complete event; empty before the first one. */
   get lastEventId(): string {
+    this.#readLastEventId();
     return this.#lastEventId;
   }
 
@@ -36,8 +40,11 @@
       : Buffer.concat([this.#incompleteEvent, chunk]);
     const end = this.#countEvents(bytes);
     this.#incompleteEvent = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    this.#updateLastEventId(complete);
+    const complete = Buffer.from(bytes.buffer, bytes.byteOffset, end);
+    if (hasId(complete)) {
+      // Ids are only read when a stream has to be resumed.
+      this.#unreadEvents = complete;
+    }
     return complete;
   }
 
@@ -63,13 +70,19 @@
     }
   }
 
-  #updateLastEventId(complete: Uint8Array): void {
-    if (complete.length === 0) {
+  #readLastEventId(): void {
+    if (this.#unreadEvents.length === 0) {
       return;
     }
-    const text = Buffer.from(complete).toString("latin1");
-    const lastEvent = text.slice(text.lastIndexOf("\n\n", text.length - 3) + 1);
-    this.#lastEventId = EVENT_ID_PATTERN.exec(lastEvent)?.[1] ??
-      this.#lastEventId;
+    const text = Buffer.from(this.#unreadEvents).toString("latin1");
+    this.#unreadEvents = new Uint8Array();
+    for (const [, id] of text.matchAll(EVENT_ID_PATTERN)) {
+      this.#lastEventId = id ?? this.#lastEventId;
+    }
   }
 }
+
+/** Whether a line of some complete events begins with an id. */
+function hasId(events: Buffer): boolean {
+  return events.indexOf(ID_FIELD) === 0 || events.includes(`\n${ID_FIELD}`);
+}
--- a/packages/forwarding/src/ingress/event_splitter_test.ts
+++ b/packages/forwarding/src/ingress/event_splitter_test.ts
@@ -38,6 +38,14 @@
     );
   });
 
+  it("keeps the last id when later events have none", () => {
+    const splitter = new EventSplitter();
+    splitter.split(Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    splitter.split(Buffer.from("data: id: 9\n\n: a comment\n\n"));
+    expect(splitter.lastEventId).to.equal("2");
+    expect(splitter.eventCount).to.equal(4);
+  });
+
   it("holds back an incomplete event until it is removed", () => {
     const splitter = new EventSplitter();
     const complete = splitter.split(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -1,6 +1,6 @@
 /** Forwards one request: waits for grants, makes attempts and answers once. */
 
-import { ChildAbort, type Clock, type Logger } from "@rattanvane/base";
+import type { Clock, Logger } from "@rattanvane/base";
 import type { Admission, AttemptGrant } from "../admission/admission.ts";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
@@ -18,6 +18,8 @@
 /** Part of a failure's reason when the endpoint refused the connection. */
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
 const MIN_TIME_FOR_RETRY_MILLISECONDS = 20;
+/** A common reason, since creating one for each request takes time. */
+const EXPIRED_REASON = new Error("The deadline of the request has passed");
 
 /** The dependencies that all requests share. */
 export interface ForwardEnvironment {
@@ -57,14 +59,16 @@
     });
   }
 
-  /** Runs until the answer is sent, the deadline passes or the signal aborts. */
-  async run(signal: AbortSignal): Promise<void> {
+  /**
+   * Runs until the answer is sent or the lifetime ends, which it does when the
+   * deadline passes.
+   */
+  async run(lifetime: AbortController): Promise<void> {
     const { clock } = this.#environment;
     const { call } = this.#options;
-    const lifetime = new ChildAbort(signal);
     const timer = setTimeout(
       () => {
-        lifetime.abort();
+        lifetime.abort(EXPIRED_REASON);
         this.#finalAnswer.expire();
       },
       Math.max(0, call.deadlineAt - clock.now()),
@@ -73,7 +77,6 @@
       await this.#serve(lifetime.signal);
     } finally {
       clearTimeout(timer);
-      lifetime.abort();
     }
   }
 
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -8,13 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import {
-  ChildAbort,
-  type Clock,
-  createLifetime,
-  describeError,
-  type Logger,
-} from "@rattanvane/base";
+import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { ForwardedCall } from "../model/call.ts";
 import type { CallerLimits } from "../model/route.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
@@ -24,6 +18,8 @@
 const RETRY_AFTER_MILLISECONDS = 300;
 
 const STATUS_INTERNAL = 500;
+/** A common reason, since creating one for each request takes time. */
+const CLOSED_REASON = new Error("The response was closed");
 
 const REJECTION_ANSWERS: Record<RejectionKind, LocalAnswer> = {
   [RejectionKind.NoConfiguration]: {
@@ -64,11 +60,11 @@
   isLeaving: () => boolean;
   /** Why a call is rejected; undefined when it is admitted. */
   findRejection: (call: ForwardedCall) => RejectionKind | undefined;
-  /** Forwards and answers a call; the signal aborts when its response closes. */
+  /** Forwards and answers a call; its lifetime ends when its response closes. */
   serve: (
     call: ForwardedCall,
     answer: CallerAnswer,
-    signal: AbortSignal,
+    lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
 }
@@ -123,14 +119,14 @@
   ): Promise<void> {
     const receivedAt = this.#options.clock.now();
     const answer = new CallerAnswer(response, this.#options.isLeaving);
-    const lifetime = new ChildAbort(NEVER_ABORTED);
+    const lifetime = new AbortController();
     this.#active++;
     response.once("close", () => {
       this.#active--;
-      lifetime.abort();
+      lifetime.abort(CLOSED_REASON);
     });
     try {
-      await this.#serve(request, { answer, receivedAt }, lifetime.signal);
+      await this.#serve(request, { answer, receivedAt }, lifetime);
     } catch (thrown) {
       this.#options.logger.error("a request could not be handled", {
         reason: describeError(thrown),
@@ -142,7 +138,7 @@
   async #serve(
     request: IncomingMessage,
     exchange: { answer: CallerAnswer; receivedAt: number },
-    signal: AbortSignal,
+    lifetime: AbortController,
   ): Promise<void> {
     const { reader, findRejection, serve } = this.#options;
     const { answer, receivedAt } = exchange;
@@ -169,8 +165,8 @@
       this.#reject(request, answer, obstacle);
       return;
     }
-    if (!signal.aborted) {
-      await serve(call, answer, signal);
+    if (!lifetime.signal.aborted) {
+      await serve(call, answer, lifetime);
     }
   }
 
@@ -191,20 +187,33 @@
   }
 
   /** Reads the complete body; undefined when it exceeds the limit. */
-  async #readBody(request: IncomingMessage): Promise<Uint8Array | undefined> {
+  #readBody(request: IncomingMessage): Promise<Uint8Array | undefined> {
     const maxBytes = this.#options.findLimits()?.bodyBytes ?? Infinity;
     const chunks: Uint8Array[] = [];
     let bytes = 0;
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      bytes += (chunk as Uint8Array).length;
-      if (bytes > maxBytes) {
-        return undefined;
-      }
-      chunks.push(chunk as Uint8Array);
-    }
-    return Buffer.concat(chunks);
+    return new Promise((resolve, reject) => {
+      request.on("data", (chunk: Uint8Array) => {
+        bytes += chunk.length;
+        if (bytes <= maxBytes) {
+          chunks.push(chunk);
+          return;
+        }
+        request.removeAllListeners("data");
+        resolve(undefined);
+      });
+      request.once("end", () => resolve(joinChunks(chunks)));
+      request.once("error", reject);
+      request.once(
+        "close",
+        () => reject(new Error("The caller closed the connection")),
+      );
+    });
   }
 }
 
-/** The parent of the requests' signals, each of which aborts on its own. */
-const NEVER_ABORTED = createLifetime().signal;
+function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
+  const [only] = chunks;
+  return chunks.length === 1 && only !== undefined
+    ? only
+    : Buffer.concat(chunks);
+}
