--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -201,7 +201,7 @@
         request.removeAllListeners("data");
         resolve(undefined);
       });
-      request.once("end", () => resolve(joinChunks(chunks)));
+      request.once("end", () => resolve(mergeChunks(chunks)));
       request.once("error", reject);
       request.once(
         "close",
@@ -211,7 +211,7 @@
   }
 }
 
-function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
+function mergeChunks(chunks: readonly Uint8Array[]): Uint8Array {
   const [only] = chunks;
   return chunks.length === 1 && only !== undefined
     ? only
