--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -41,7 +41,7 @@
 const MEMBERSHIP_SETTINGS: MembershipSettings = {
   ...DEFAULT_MEMBERSHIP_SETTINGS,
   peers: [],
-  probePeriodMilliseconds: 300,
+  probePeriodMilliseconds: 400,
   suspicionMilliseconds: 900,
 };
 
@@ -292,6 +292,7 @@
       endpoints: state.endpoints,
       tables: this.#tables,
       isScheduler: () => this.#roles.isScheduler,
+      roleChanges: this.#roles.changes,
       listPeers: () => this.#directory.listPeers(),
       listZoneSchedulers: () => this.#roles.schedulers,
       countZoneVms: () => this.#roles.zoneVms,
--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -1,6 +1,11 @@
 /** Exchange of soft state between the schedulers of the fleet. */
 
-import { ChildAbort, type Clock, type Logger } from "@rattanvane/base";
+import {
+  ChildAbort,
+  type Clock,
+  type Emitter,
+  type Logger,
+} from "@rattanvane/base";
 import type { SuspectRegistry } from "@rattanvane/limits";
 import {
   type EndpointUse,
@@ -25,8 +30,8 @@
 const SEND_TIMES_CAPACITY = 128;
 /** A peer counts as live for this time after its last message. */
 const LIVENESS_MILLISECONDS = 1_500;
-/** How often a VM that sends no state checks whether it has become a scheduler. */
-const ROLE_CHECK_MILLISECONDS = 200;
+/** How long a VM that sends no state waits for a change of its role at most. */
+const ROLE_CHECK_MILLISECONDS = 10_000;
 /**
  * A starting VM regards itself as a scheduler until it has heard of the others,
  * and sends nothing before it had time to.
@@ -50,6 +55,8 @@
   tables: TableDistributor;
   /** Whether this VM is a scheduler; others send and merge no state. */
   isScheduler: () => boolean;
+  /** Emits when the roles in this VM's zone have changed. */
+  roleChanges: Emitter<void>;
   listPeers: () => Iterable<VmId>;
   listSchedulers: () => Iterable<ServiceScheduler>;
   /** The schedulers of this VM's zone. */
@@ -101,7 +108,7 @@
     await clock.sleep(START_DELAY_MILLISECONDS, signal);
     while (!signal.aborted) {
       if (!isScheduler()) {
-        await clock.sleep(ROLE_CHECK_MILLISECONDS, signal);
+        await this.#waitForRole(signal);
         continue;
       }
       const peers = [...listPeers()];
@@ -118,6 +125,14 @@
     }
   }
 
+  /** Waits until this VM may have become a scheduler. */
+  async #waitForRole(signal: AbortSignal): Promise<void> {
+    const change = new ChildAbort(signal);
+    this.#options.roleChanges.listen(() => change.abort(), change.signal);
+    await this.#options.clock.sleep(ROLE_CHECK_MILLISECONDS, change.signal);
+    change.abort();
+  }
+
   /** Merges the state of another scheduler. */
   merge(from: VmId, message: ForwardingStateMessage): void {
     const { clock, shares, suspects } = this.#options;
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -1,5 +1,6 @@
 import {
   createSilentLogger,
+  Emitter,
   ManualClock,
   RandomSource,
 } from "@rattanvane/base";
@@ -75,6 +76,7 @@
     endpoints,
     tables,
     isScheduler: () => true,
+    roleChanges: new Emitter<void>(),
     listPeers: () => ["vm-2"],
     listSchedulers: () => [],
     listZoneSchedulers: () => [],
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -9,7 +9,9 @@
 import type { AnswerHeaders } from "../model/dialect.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
+/** Applies where the endpoint states no time-out of its own. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
+const MAX_IDLE_TIMEOUT_MILLISECONDS = 60_000;
 /** Idle connections are closed this long before the endpoint would do so. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 
@@ -148,7 +150,7 @@
       connect: this.#createConnector(),
       keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
-      keepAliveMaxTimeout: IDLE_TIMEOUT_MILLISECONDS,
+      keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MILLISECONDS,
       allowH2: false,
     });
     this.#pools.set(address, pool);
--- a/packages/forwarding/src/scheduling/endpoint_prober.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober.ts
@@ -5,6 +5,8 @@
 import type { ServiceScheduler } from "./service_scheduler.ts";
 
 const PROBE_PERIOD_MILLISECONDS = 400;
+/** How often a VM that does not probe checks whether it has to. */
+const IDLE_PERIOD_MILLISECONDS = 2_000;
 const PROBE_TIMEOUT_MILLISECONDS = 600;
 
 /** Requests an endpoint's health; resolves to true if it is healthy. */
@@ -50,7 +52,10 @@
           this.#probeDownEndpoints(service, signal);
         }
       }
-      await this.#options.clock.sleep(PROBE_PERIOD_MILLISECONDS, signal);
+      const period = this.#options.isScheduler()
+        ? PROBE_PERIOD_MILLISECONDS
+        : IDLE_PERIOD_MILLISECONDS;
+      await this.#options.clock.sleep(period, signal);
     }
   }
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -48,7 +48,7 @@
 }
 
 /** Limit the probes that follow a suspicion. */
-const EXPEDITED_PROBES_BURST = 8;
+const EXPEDITED_PROBES_BURST = 16;
 const EXPEDITED_PROBES_PER_SECOND = 4;
 
 /** Number of probes sent immediately at the start, before any VM is known. */
@@ -151,7 +151,10 @@
         this.#probeAfterSuspicion();
       }
     }, signal);
-    this.#disputedDeaths.listen((vm) => void this.#prober.probe(vm), signal);
+    this.#disputedDeaths.listen(
+      (vm) => void this.#prober.confirmDeath(vm),
+      signal,
+    );
     signal.addEventListener("abort", () => this.#pending.removeAll(), {
       once: true,
     });
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -69,13 +69,37 @@
 
   /** Probes a VM of this VM's zone until it replies or is declared dead. */
   async probe(target: VmContact): Promise<void> {
+    await this.#probeUnlessInProgress(
+      target,
+      (probe) => this.#runProbe(probe, target),
+    );
+  }
+
+  /**
+   * Probes a VM that another one has declared dead, and declares it dead unless
+   * it replies. The other one has given it the time to refute the suspicion.
+   */
+  async confirmDeath(target: VmContact): Promise<void> {
+    await this.#probeUnlessInProgress(target, async (probe) => {
+      const outcome = await this.#probeInTwoSteps(probe, target);
+      const record = this.#options.table.find(target.vm);
+      if (outcome === ProbeOutcome.TimedOut && record !== undefined) {
+        this.#declareDead(record);
+      }
+    });
+  }
+
+  async #probeUnlessInProgress(
+    target: VmContact,
+    run: (probe: PendingProbe) => Promise<void>,
+  ): Promise<void> {
     if (this.#inProgress.has(target.vm)) {
       return;
     }
     const probe = this.#options.pending.start(target.vm);
     this.#inProgress.add(target.vm);
     try {
-      await this.#runProbe(probe, target);
+      await run(probe);
     } finally {
       this.#inProgress.delete(target.vm);
       this.#options.pending.remove(probe);
@@ -152,6 +176,20 @@
   }
 
   async #runProbe(probe: PendingProbe, target: VmContact): Promise<void> {
+    const outcome = await this.#probeInTwoSteps(probe, target);
+    if (outcome === ProbeOutcome.TimedOut) {
+      const late = await this.#runSuspicion(target, probe);
+      if (late === ProbeOutcome.Answered) {
+        this.#replyTimeout.recordLateReply();
+      }
+    }
+  }
+
+  /** Probes a VM directly, and then through others as well. */
+  async #probeInTwoSteps(
+    probe: PendingProbe,
+    target: VmContact,
+  ): Promise<ProbeOutcome> {
     const { probeTimeoutMilliseconds } = this.#options.settings;
     const timeout = this.#replyTimeout.computeMilliseconds(
       probeTimeoutMilliseconds,
@@ -162,16 +200,14 @@
       this.#replyTimeout.recordTimelyReply();
     }
     if (direct !== ProbeOutcome.TimedOut) {
-      return;
+      return direct;
     }
     this.#sendIndirectProbes(target, probe.sequence);
     const indirect = await probe.wait(timeout);
-    const outcome = indirect === ProbeOutcome.TimedOut
-      ? await this.#runSuspicion(target, probe)
-      : indirect;
-    if (outcome === ProbeOutcome.Answered) {
+    if (indirect === ProbeOutcome.Answered) {
       this.#replyTimeout.recordLateReply();
     }
+    return indirect;
   }
 
   #sendIndirectProbes(target: VmContact, sequence: number): void {
