Spend limits of the fleet only where half of the zone is in sight

Change: in fleets with elected schedulers a VM spends its part only while it sees at least half of the VMs that its zone had within a minute.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -243,6 +243,11 @@
     await this.#vmList.removeSelf(signal);
   }
 
+  /** The VM that schedules this VM's requests; undefined for this VM itself. */
+  get scheduler(): VmId | undefined {
+    return this.#selector.current;
+  }
+
   /** Whether this VM schedules requests. */
   get isScheduler(): boolean {
     return this.#roles.isScheduler;
--- a/packages/forwarding/src/fleet/scheduler_roles.ts
+++ b/packages/forwarding/src/fleet/scheduler_roles.ts
@@ -21,6 +21,8 @@
  * predecessor that lost the role has stopped by then.
  */
 const SETTLING_MILLISECONDS = 1_500;
+/** How long the largest size of the zone is remembered. */
+const PEAK_MILLISECONDS = 60_000;
 /** Schedulers beyond the regular number that may be active during a change. */
 const SURPLUS_SCHEDULERS = 2;
 
@@ -48,6 +50,8 @@
   #schedulers: VmContact[] = [];
   #isSelfScheduler = false;
   #assignedAt = -Infinity;
+  /** The largest number of live VMs that the zone had lately. */
+  #peak = { vms: 0, seenAt: -Infinity };
 
   constructor(options: SchedulerRolesOptions) {
     this.#options = options;
@@ -83,22 +87,40 @@
 
   /**
    * The number of VMs among which limits of the whole fleet are divided;
-   * infinite while this VM must not spend any part of them.
+   * infinite while this VM must not spend any part of them. In a fleet in which
+   * all VMs are schedulers, each has its part. In a larger one, a VM that sees
+   * only a few others may be cut off from the real schedulers of its zone.
    */
   computeLimitSharers(fleetVms: number): number {
     const { clock, zones } = this.#options;
     const isSettled = this.#isSelfScheduler &&
       clock.now() - this.#assignedAt >= SETTLING_MILLISECONDS;
+    const regular = this.#schedulersPerZone * zones;
     if (!isSettled) {
       return Infinity;
     }
-    const regular = this.#schedulersPerZone * zones;
-    return fleetVms <= regular ? fleetVms : regular + SURPLUS_SCHEDULERS;
+    if (fleetVms <= regular) {
+      return fleetVms;
+    }
+    return this.#isMajority() ? regular + SURPLUS_SCHEDULERS : Infinity;
+  }
+
+  /** Whether this VM sees at least half of the VMs that its zone had lately. */
+  #isMajority(): boolean {
+    return this.zoneVms * 2 >= this.#peak.vms;
+  }
+
+  #updatePeak(vms: number): void {
+    const now = this.#options.clock.now();
+    if (vms >= this.#peak.vms || now - this.#peak.seenAt > PEAK_MILLISECONDS) {
+      this.#peak = { vms, seenAt: now };
+    }
   }
 
   #update(): void {
     const { members, self, clock } = this.#options;
     const ranked = this.#rank(members.listLive(self.zone));
+    this.#updatePeak(ranked.length);
     const schedulers = ranked.slice(0, this.#schedulersPerZone);
     if (hasSameVms(schedulers, this.#schedulers)) {
       return;
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -35,6 +35,7 @@
 import { TestRowDecoder } from "./test_dialect.ts";
 
 const CLOCK_RESOLUTION_MILLISECONDS = 1;
+const COLD_MILLISECONDS = 60_000;
 
 /** How much a VM has sent and asked of the store. */
 export interface VmTraffic {
@@ -61,6 +62,8 @@
   zones: number;
   endpoints?: number;
   latencyMilliseconds?: number;
+  /** Whether the endpoints have just started and stay cold for long. */
+  isCold?: boolean;
 }
 
 /** Counts one VM's calls, which may be rejected, to the store of all VMs. */
@@ -135,7 +138,15 @@
     for (let index = 0; index < (options.endpoints ?? 0); index++) {
       const id = `endpoint-${index}`;
       const zone = this.#zones[index % options.zones] as string;
-      this.store.put("endpoints", id, buildEndpoint(id, { zone }));
+      this.store.put(
+        "endpoints",
+        id,
+        buildEndpoint(id, {
+          zone,
+          coldMilliseconds: options.isCold === true ? COLD_MILLISECONDS : 0,
+          startedAtUnixMilliseconds: -COLD_MILLISECONDS,
+        }),
+      );
     }
   }
 
--- a/packages/membership/src/testing/memory_network.ts
+++ b/packages/membership/src/testing/memory_network.ts
@@ -72,6 +72,14 @@
     }
   }
 
+  /** Makes a VM handle each message that much later. */
+  slowDown(vm: VmId, handlingMilliseconds: number): void {
+    const member = this.#members.get(vm);
+    if (member !== undefined) {
+      member.handlingMilliseconds = handlingMilliseconds;
+    }
+  }
+
   /** Drops the messages from some VMs to others, but not those back. */
   dropMessages(from: readonly VmId[], to: readonly VmId[]): void {
     for (const sender of from) {
