Check the fields of the messages between forwarding VMs

Change: each kind's fields are checked when it is decoded; what is not accepted is counted and logged and the next message is read.

--- a/packages/protocol/src/acknowledgements.ts
+++ b/packages/protocol/src/acknowledgements.ts
@@ -86,6 +86,8 @@
 /** The connection of a dialer, and who handles the listener's messages. */
 export interface AcknowledgementReaderOptions extends AcknowledgementOptions {
   receive: (message: Message, bytes: number) => void;
+  /** Called for a message that is not accepted; throws if reading must end. */
+  reject: (error: ProtocolError) => void;
 }
 
 /** Reads the acknowledgements and the messages that a listener sends. */
@@ -139,7 +141,8 @@
     }
     const reply = decodeReply(seal.open(frame));
     if (reply.isErr()) {
-      throw reply.error;
+      this.#options.reject(reply.error);
+      return true;
     }
     if (typeof reply.value !== "number") {
       receive(reply.value, frame.length);
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -4,10 +4,12 @@
 import { Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
 import { buildFieldNumbers } from "./field_names.ts";
+import { hasValidFields } from "./message_checks.ts";
 import { MessageKind } from "./message_kind.ts";
 import type { Message } from "./messages.ts";
 import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
 
+const MAX_KIND_LENGTH = 40;
 const KNOWN_KINDS = new Set<string>(Object.values(MessageKind));
 
 /** Stateless, so that each frame can be decoded without the preceding ones. */
@@ -38,14 +40,14 @@
 
 /**
  * Decodes a message; returns a BadFrame error for invalid bytes and BadMessage
- * for an unknown kind.
+ * for an unknown kind or invalid fields.
  */
 export function decodeMessage(
   bytes: Uint8Array,
 ): Result<Message, ProtocolError> {
   return decodeWith(messageEncoder, bytes).andThen((value) => {
     if (!isMessage(value)) {
-      const problem = "Cannot decode a message of unknown kind";
+      const problem = `Cannot accept ${describeValue(value)}`;
       return err(new ProtocolError(ProtocolErrorKind.BadMessage, problem));
     }
     return ok(value);
@@ -61,7 +63,7 @@
 ): Result<number | Message, ProtocolError> {
   return decodeWith(messageEncoder, bytes).andThen((value) => {
     if (typeof value !== "number" && !isMessage(value)) {
-      const problem = "Cannot decode a reply of unknown kind";
+      const problem = `Cannot accept ${describeValue(value)}`;
       return err(new ProtocolError(ProtocolErrorKind.BadMessage, problem));
     }
     return ok(value);
@@ -80,9 +82,20 @@
   }
 }
 
+/** Names a value that is no message, or a message with invalid fields. */
+function describeValue(value: unknown): string {
+  const hasKind = typeof value === "object" && value !== null &&
+    "kind" in value && typeof value.kind === "string";
+  return hasKind
+    ? `a message of kind "${String(value.kind).slice(0, MAX_KIND_LENGTH)}", ` +
+      "which is not known or has invalid fields"
+    : "a value that is no message";
+}
+
 function isMessage(value: unknown): value is Message {
   if (typeof value !== "object" || value === null || !("kind" in value)) {
     return false;
   }
-  return typeof value.kind === "string" && KNOWN_KINDS.has(value.kind);
+  return typeof value.kind === "string" && KNOWN_KINDS.has(value.kind) &&
+    hasValidFields(value as Message & Record<string, unknown>);
 }
--- a/packages/protocol/src/incoming_connection.ts
+++ b/packages/protocol/src/incoming_connection.ts
@@ -19,6 +19,7 @@
 } from "./handshake.ts";
 import type { VmContact, VmId } from "./identifiers.ts";
 import type { Message } from "./messages.ts";
+import { type ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
 import { ReturnChannel } from "./return_channel.ts";
 
 const HANDSHAKE_TIMEOUT_MILLISECONDS = 3_000;
@@ -39,6 +40,27 @@
   countReceived: (bytes: number) => void;
   countSent: (bytes: number) => void;
   countDropped: (messages: number) => void;
+  /** Called for each message that is not accepted. */
+  countRejected: () => void;
+}
+
+/**
+ * Counts and logs a message that is not accepted, as another release may send
+ * it; throws for bytes that are no message, after which nothing can be read.
+ */
+export function rejectFrame(
+  error: ProtocolError,
+  peer: VmId,
+  options: { logger: Logger; countRejected: () => void },
+): void {
+  if (error.kind !== ProtocolErrorKind.BadMessage) {
+    throw error;
+  }
+  options.countRejected();
+  options.logger.warn("a message was not accepted", {
+    peer,
+    reason: error.message,
+  });
 }
 
 /** Serves a connection until it ends or the signal aborts. */
@@ -119,7 +141,8 @@
       acknowledgements.countFrame();
       const message = decodeMessage(session.seal.open(frame));
       if (message.isErr()) {
-        throw message.error;
+        rejectFrame(message.error, vm, options);
+        continue;
       }
       options.receive(vm, message.value);
     }
--- /dev/null
+++ b/packages/protocol/src/message_checks.ts
@@ -0,0 +1,227 @@
+/** Checks the fields of messages, which may come from another release. */
+
+import { MessageKind } from "./message_kind.ts";
+
+/** Longer texts, such as ids, are not accepted. */
+const MAX_TEXT_LENGTH = 512;
+const MAX_ITEMS = 20_000;
+
+/** Whether a value is acceptable for a field. */
+type Check = (value: unknown) => boolean;
+
+const isText: Check = (value) =>
+  typeof value === "string" && value.length <= MAX_TEXT_LENGTH;
+const isNumber: Check = (value) =>
+  typeof value === "number" && Number.isFinite(value);
+const isAmount: Check = (value) => isNumber(value) && (value as number) >= 0;
+const isFlag: Check = (value) => typeof value === "boolean";
+const isBytes: Check = (value) => value instanceof Uint8Array;
+
+/** Accepts a missing value as well. */
+function createOptional(check: Check): Check {
+  return (value) => value === undefined || check(value);
+}
+
+function createList(check: Check): Check {
+  return (value) =>
+    Array.isArray(value) && value.length <= MAX_ITEMS && value.every(check);
+}
+
+function createObject(fields: Record<string, Check>): Check {
+  const checks = Object.entries(fields);
+  return (value) => {
+    if (typeof value !== "object" || value === null) {
+      return false;
+    }
+    const object = value as Record<string, unknown>;
+    return checks.every(([name, check]) => check(object[name]));
+  };
+}
+
+const isContact = createObject({
+  vm: isText,
+  zone: isText,
+  host: isText,
+  controlPort: isAmount,
+  callerPort: isAmount,
+  capacity: createOptional(isAmount),
+});
+
+const isRow = createObject({
+  key: isText,
+  version: isNumber,
+  value: isBytes,
+});
+
+const TABLE_AGE_FIELDS = {
+  version: isNumber,
+  digest: isText,
+  ageMilliseconds: isAmount,
+};
+
+const isTableAge = createObject(TABLE_AGE_FIELDS);
+const isNamedTableAge = createObject({ ...TABLE_AGE_FIELDS, table: isText });
+
+const isPromptPart: Check = (value) =>
+  Array.isArray(value) && value.length === 2 && isText(value[0]) &&
+  isAmount(value[1]);
+
+const isPrompt = createObject({
+  tokens: isAmount,
+  outputTokens: isAmount,
+  parts: createList(isPromptPart),
+});
+
+const isGossip = createObject({
+  updates: createList(createObject({
+    contact: isContact,
+    state: isText,
+    incarnation: isNumber,
+  })),
+  suspects: createList(createObject({
+    fingerprint: isText,
+    crashedAttempts: createList(isText),
+    ageMilliseconds: isAmount,
+  })),
+  terms: createList(isObject),
+  configurationVersion: isNumber,
+});
+
+function isObject(value: unknown): boolean {
+  return typeof value === "object" && value !== null;
+}
+
+const isEntry = createObject({ entry: isText });
+
+/** The checks of the kinds that VMs with forwarding routes exchange. */
+const CHECKS: Partial<Record<MessageKind, Check>> = {
+  [MessageKind.Probe]: createObject({
+    sequence: isAmount,
+    from: isContact,
+    gossip: isGossip,
+  }),
+  [MessageKind.ProbeReply]: createObject({
+    sequence: isAmount,
+    from: isText,
+    gossip: isGossip,
+  }),
+  [MessageKind.IndirectProbe]: createObject({
+    sequence: isAmount,
+    from: isContact,
+    target: isContact,
+  }),
+  [MessageKind.IndirectProbeReply]: createObject({
+    sequence: isAmount,
+    target: isText,
+  }),
+  [MessageKind.ForwardingState]: createObject({
+    sequence: isAmount,
+    echo: isAmount,
+    endpoints: createList(createObject({
+      endpoint: isText,
+      running: isAmount,
+      prefillTokens: isAmount,
+      recentTokens: isAmount,
+      downAgeMilliseconds: createOptional(isAmount),
+    })),
+    organisations: createList(createObject({
+      organisation: isText,
+      asked: isAmount,
+      granted: isAmount,
+    })),
+    suspects: createList(createObject({
+      fingerprint: isText,
+      crashedAttempts: createList(isText),
+      ageMilliseconds: isAmount,
+    })),
+    configuration: createOptional(isTableAge),
+    registrations: createOptional(isTableAge),
+    schedulers: createOptional(createList(isContact)),
+    zoneVms: createOptional(isAmount),
+    zoneDigest: createOptional(isText),
+  }),
+  [MessageKind.RequestTable]: createObject({ table: isText }),
+  [MessageKind.TableCopy]: createObject({
+    table: isText,
+    version: isNumber,
+    rows: createList(isRow),
+  }),
+  [MessageKind.TableChanges]: createObject({
+    table: isText,
+    digestBefore: isText,
+    digest: isText,
+    version: isNumber,
+    rows: createList(isRow),
+    removedKeys: createList(isText),
+    isAfterOutage: isFlag,
+  }),
+  [MessageKind.ZoneSchedulers]: createObject({
+    schedulers: createList(isContact),
+  }),
+  [MessageKind.SubmitRequest]: createObject({
+    entry: isText,
+    request: isText,
+    service: isText,
+    organisation: createOptional(isText),
+    priority: isNumber,
+    fingerprint: isText,
+    objectiveMilliseconds: isAmount,
+    pauseMilliseconds: isAmount,
+    waitedMilliseconds: isAmount,
+    remainingMilliseconds: isNumber,
+    prompt: createOptional(isPrompt),
+    avoid: createList(isText),
+    isRepeated: isFlag,
+  }),
+  [MessageKind.WithdrawRequest]: isEntry,
+  [MessageKind.RequestQueued]: isEntry,
+  [MessageKind.GrantRequest]: createObject({
+    entry: isText,
+    endpoint: isText,
+    zone: isText,
+    host: isText,
+    port: isAmount,
+    waitedMilliseconds: isAmount,
+    predictedMilliseconds: isAmount,
+    ownTokens: isAmount,
+    aheadTokens: isNumber,
+    missingTokens: isAmount,
+    isLong: isFlag,
+    running: isAmount,
+  }),
+  [MessageKind.RefuseRequest]: createObject({
+    entry: isText,
+    reason: isText,
+    retryAfterMilliseconds: isAmount,
+    waitedMilliseconds: isAmount,
+  }),
+  [MessageKind.AttemptAnswering]: isEntry,
+  [MessageKind.AttemptEnded]: createObject({
+    entry: isText,
+    outcome: isText,
+    isConnectionRefused: isFlag,
+    firstByteMilliseconds: createOptional(isAmount),
+    longestPauseMilliseconds: isAmount,
+  }),
+  [MessageKind.MemberSync]: createObject({
+    sequence: isAmount,
+    waiting: createList(isText),
+    running: createList(createObject({ entry: isText, endpoint: isText })),
+    schedulersDigest: isText,
+    zoneDigest: isText,
+  }),
+  [MessageKind.MemberSyncReply]: createObject({
+    sequence: isAmount,
+    isScheduler: isFlag,
+    fleetVms: isAmount,
+    tables: createList(isNamedTableAge),
+    schedulers: createOptional(createList(isContact)),
+  }),
+};
+
+/** Whether a message of a known kind has the fields that its kind requires. */
+export function hasValidFields(
+  message: { kind: MessageKind } & Record<string, unknown>,
+): boolean {
+  return CHECKS[message.kind]?.(message) ?? true;
+}
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -20,6 +20,7 @@
   HANDSHAKE_FRAME_BYTES,
   runDialerHandshake,
 } from "./handshake.ts";
+import { rejectFrame } from "./incoming_connection.ts";
 import type { VmContact, VmId } from "./identifiers.ts";
 import type { Message } from "./messages.ts";
 import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
@@ -48,6 +49,8 @@
   countLost: () => void;
   /** Called with the size of each received frame, in bytes. */
   countReceived: (bytes: number) => void;
+  /** Called for each message that is not accepted. */
+  countRejected: () => void;
   /** Handles the messages that peers send on this VM's connections. */
   receive: (from: VmId, message: Message) => void;
 }
@@ -202,6 +205,8 @@
         this.#environment.countReceived(bytes);
         this.#environment.receive(session.listener, message);
       },
+      reject: (error) =>
+        rejectFrame(error, session.listener, this.#environment),
     }, signal);
     void this.#readAcknowledgements(acknowledgements);
     try {
--- a/packages/protocol/src/peer_network.ts
+++ b/packages/protocol/src/peer_network.ts
@@ -40,6 +40,8 @@
   receivedMessages: number;
   /** Messages not sent because a link's queue was full or its peer unreachable. */
   droppedMessages: number;
+  /** Messages of unknown kinds or with invalid fields, which were ignored. */
+  rejectedMessages: number;
   /** Established connections that were lost. */
   lostLinks: number;
 }
@@ -66,6 +68,7 @@
     sentMessages: 0,
     receivedMessages: 0,
     droppedMessages: 0,
+    rejectedMessages: 0,
     lostLinks: 0,
   };
   readonly linkChanges = new Emitter<LinkChange>();
@@ -102,6 +105,9 @@
         this.traffic.receivedBytes += bytes;
         this.traffic.receivedMessages++;
       },
+      countRejected: () => {
+        this.traffic.rejectedMessages++;
+      },
       receive: (from, message) => this.#deliver(from, message),
     };
     this.#server = createServer((socket) => this.#acceptSocket(socket));
@@ -182,6 +188,7 @@
       countReceived: this.#environment.countReceived,
       countSent: this.#environment.countSent,
       countDropped: this.#environment.countDropped,
+      countRejected: this.#environment.countRejected,
     }, this.#signal);
   }
 
--- a/packages/protocol/src/peer_network_test.ts
+++ b/packages/protocol/src/peer_network_test.ts
@@ -91,6 +91,38 @@
 
   afterEach(() => lifetime.abort());
 
+  it("ignores messages of unknown kinds and with invalid fields, and delivers the next one", async () => {
+    const listener = await startPeer(
+      "vm-1",
+      { fleetKeys: [FLEET_KEY] },
+      lifetime.signal,
+    );
+    const dialer = await startPeer(
+      "vm-2",
+      { fleetKeys: [FLEET_KEY] },
+      lifetime.signal,
+    );
+    dialer.network.registerContact(listener.contact);
+    const invalid = [
+      { kind: "ofALaterRelease" },
+      { kind: MessageKind.AttemptAnswering },
+      { kind: MessageKind.RequestTable, table: 7 },
+    ] as unknown as Message[];
+    const next = listener.waitForMessage();
+    for (const message of [...invalid, createMessage(1)]) {
+      dialer.network.send("vm-1", message);
+    }
+    expect((await next).message).to.deep.equal(createMessage(1));
+    expect(listener.network.traffic.rejectedMessages).to.equal(3);
+    const answer = dialer.waitForMessage();
+    for (const message of [...invalid, createMessage(2)]) {
+      listener.network.send("vm-2", message);
+    }
+    expect((await answer).message).to.deep.equal(createMessage(2));
+    expect(dialer.network.traffic.rejectedMessages).to.equal(3);
+    expect(dialer.network.traffic.lostLinks).to.equal(0);
+  });
+
   it("answers a peer on the connection that the peer has opened", async () => {
     const listener = await startPeer(
       "vm-1",
--- a/packages/router/src/testing/fixtures.ts
+++ b/packages/router/src/testing/fixtures.ts
@@ -247,6 +247,7 @@
       sentMessages: 0,
       receivedMessages: 0,
       droppedMessages: 0,
+      rejectedMessages: 0,
       lostLinks: 0,
     }),
   });
