--- a/packages/protocol/src/incoming_connection.ts
+++ b/packages/protocol/src/incoming_connection.ts
@@ -48,7 +48,7 @@
  * Counts and logs a message that is not accepted, as another release may send
  * it; throws for bytes that are no message, after which nothing can be read.
  */
-export function rejectFrame(
+export function handleRejectedFrame(
   error: ProtocolError,
   peer: VmId,
   options: { logger: Logger; countRejected: () => void },
@@ -141,7 +141,7 @@
       acknowledgements.countFrame();
       const message = decodeMessage(session.seal.open(frame));
       if (message.isErr()) {
-        rejectFrame(message.error, vm, options);
+        handleRejectedFrame(message.error, vm, options);
         continue;
       }
       options.receive(vm, message.value);
--- a/packages/protocol/src/outgoing_link.ts
+++ b/packages/protocol/src/outgoing_link.ts
@@ -20,7 +20,7 @@
   HANDSHAKE_FRAME_BYTES,
   runDialerHandshake,
 } from "./handshake.ts";
-import { rejectFrame } from "./incoming_connection.ts";
+import { handleRejectedFrame } from "./incoming_connection.ts";
 import type { VmContact, VmId } from "./identifiers.ts";
 import type { Message } from "./messages.ts";
 import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
@@ -206,7 +206,7 @@
         this.#environment.receive(session.listener, message);
       },
       reject: (error) =>
-        rejectFrame(error, session.listener, this.#environment),
+        handleRejectedFrame(error, session.listener, this.#environment),
     }, signal);
     void this.#readAcknowledgements(acknowledgements);
     try {
