--- a/packages/forwarding/src/fleet/scheduler_roles.ts
+++ b/packages/forwarding/src/fleet/scheduler_roles.ts
@@ -131,8 +131,9 @@
       this.#isSelfScheduler = isScheduler;
       this.#assignedAt = clock.now();
     }
+    const names = schedulers.map(({ vm }) => vm).join(",");
     this.#options.logger.info("schedulers of this zone changed", {
-      schedulers: schedulers.map(({ vm }) => vm).join(","),
+      schedulers: names,
       isScheduler,
       zoneVms: ranked.length,
     });
