Read the end of a caller's connection before its request is sent on

A busy process reads a request late; the end of its connection, which has arrived long before, comes with the next poll of the event loop, and the request left before that. Ruled out: one turn of the event loop (the end is read in the next poll). Change: a request is submitted two turns after it was read.

--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -8,6 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setImmediate as waitForTurn } from "node:timers/promises";
 import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { ForwardedCall } from "../model/call.ts";
 import type { CallerLimits } from "../model/route.ts";
@@ -165,6 +166,7 @@
       this.#reject(request, answer, obstacle);
       return;
     }
+    await waitForPendingReads();
     if (!lifetime.signal.aborted) {
       await serve(call, answer, lifetime);
     }
@@ -211,6 +213,16 @@
   }
 }
 
+/**
+ * Waits until the event loop has polled once more. A busy process reads a
+ * request late; if its caller has left meanwhile, the end of the connection
+ * comes with the next poll.
+ */
+async function waitForPendingReads(): Promise<void> {
+  await waitForTurn();
+  await waitForTurn();
+}
+
 function mergeChunks(chunks: readonly Uint8Array[]): Uint8Array {
   const [only] = chunks;
   return chunks.length === 1 && only !== undefined
--- /dev/null
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { afterEach, beforeEach, describe, it } from "mocha";
+import { buildRoute } from "../testing/fixtures.ts";
+import { runDepartingCallers } from "../testing/departing_callers.ts";
+import { RouterHarness, sendValidResponse } from "../testing/router_harness.ts";
+
+const CALLERS = 20;
+const SETTLING_MILLISECONDS = 300;
+
+let harness = new RouterHarness();
+
+/** Load: a VM that was busy while callers sent their requests and gave up. */
+describe("IngressServer", () => {
+  beforeEach(() => {
+    harness = new RouterHarness();
+    harness.applyConfiguration({ routes: [buildRoute()] });
+  });
+
+  afterEach(() => harness.stop());
+
+  it("sends no request on whose caller has left before it was read", async () => {
+    await harness.startEndpoint("e1", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const first = await harness.send(router);
+    expect(first.status).to.equal(200);
+    const { host, port } = router.settings.callers;
+    const requests = Array.from({ length: CALLERS }, (_, index) =>
+      [
+        "POST /a/x HTTP/1.1",
+        "Host: one.example",
+        "X-Key: key-1",
+        `X-Request: departed-${index}`,
+        "Content-Length: 4",
+        "",
+        "body",
+      ].join("\r\n"));
+    await runDepartingCallers({ host, port, requests });
+    await new Promise((resolve) => setTimeout(resolve, SETTLING_MILLISECONDS));
+    expect(harness.receivedRequests).to.have.lengthOf(1);
+  });
+});
