Accept no more connections than a busy VM answers in time

Change: AcceptLimiter follows the length of the event loop's turns; beyond its limit a connection is closed unread, so that the caller comes to another VM at once. Metrics for closed connections and for the turns.

--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -8,10 +8,12 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { setImmediate as waitForTurn } from "node:timers/promises";
 import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { ForwardedCall } from "../model/call.ts";
 import type { CallerLimits } from "../model/route.ts";
+import { AcceptLimiter } from "./accept_limiter.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
 
@@ -68,23 +70,43 @@
     lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
+  /** Counts a connection that was closed because of overload. */
+  countDroppedConnection: () => void;
+  /** Records the length of a turn of the event loop that had work. */
+  recordTurn: (milliseconds: number) => void;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
 export class IngressServer {
   readonly #options: IngressServerOptions;
   readonly #server: Server;
+  readonly #acceptLimiter: AcceptLimiter;
+  readonly #signal: AbortSignal;
+  #openConnections = 0;
   #active = 0;
   /** Keep-alive connections may still deliver requests afterwards. */
   #hasStoppedAccepting = false;
 
-  constructor(options: IngressServerOptions) {
+  /** Accepts no connections before {@link start}; an abort closes all. */
+  constructor(options: IngressServerOptions, signal: AbortSignal) {
     this.#options = options;
+    this.#signal = signal;
+    this.#acceptLimiter = new AcceptLimiter({
+      ...options,
+      setAllowance: (connections) => {
+        this.#server.maxConnections = this.#openConnections + connections;
+      },
+    });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
+    this.#server.on("connection", (socket) => this.#addConnection(socket));
+    this.#server.on("drop", () => {
+      this.#acceptLimiter.recordDropped();
+      options.countDroppedConnection();
+    });
   }
 
   /** The number of requests that are not answered yet. */
@@ -93,8 +115,9 @@
   }
 
   /** Listens until the signal aborts; rejects when the port is in use. */
-  async start(signal: AbortSignal): Promise<void> {
+  async start(): Promise<void> {
     const { host, port } = this.#options;
+    const signal = this.#signal;
     this.#server.listen(port, host);
     await once(this.#server, "listening", { signal });
     signal.addEventListener("abort", () => this.#server.closeAllConnections(), {
@@ -114,6 +137,12 @@
     this.#server.closeIdleConnections();
   }
 
+  #addConnection(socket: Socket): void {
+    this.#openConnections++;
+    this.#acceptLimiter.recordAccepted();
+    socket.once("close", () => this.#openConnections--);
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -166,12 +195,27 @@
       this.#reject(request, answer, obstacle);
       return;
     }
-    await waitForPendingReads();
+    await this.#waitForPendingReads();
     if (!lifetime.signal.aborted) {
       await serve(call, answer, lifetime);
     }
   }
 
+  /**
+   * Waits until the event loop has polled once more. A busy process reads a
+   * request late; if its caller has left meanwhile, the end of the connection
+   * comes with the next poll.
+   */
+  async #waitForPendingReads(): Promise<void> {
+    const { clock, recordTurn } = this.#options;
+    await waitForTurn();
+    const startedAt = clock.now();
+    await waitForTurn();
+    const endedAt = clock.now();
+    this.#acceptLimiter.recordTurn({ startedAt, endedAt }, this.#signal);
+    recordTurn(endedAt - startedAt);
+  }
+
   #reject(
     request: IncomingMessage,
     answer: CallerAnswer,
@@ -213,16 +257,6 @@
   }
 }
 
-/**
- * Waits until the event loop has polled once more. A busy process reads a
- * request late; if its caller has left meanwhile, the end of the connection
- * comes with the next poll.
- */
-async function waitForPendingReads(): Promise<void> {
-  await waitForTurn();
-  await waitForTurn();
-}
-
 function mergeChunks(chunks: readonly Uint8Array[]): Uint8Array {
   const [only] = chunks;
   return chunks.length === 1 && only !== undefined
