--- a/packages/forwarding/src/fleet/fleet_growth_test.ts
+++ b/packages/forwarding/src/fleet/fleet_growth_test.ts
@@ -12,6 +12,11 @@
 const MEASURED_SECONDS = 2;
 const START_TIMEOUT_MILLISECONDS = 55_000;
 const VMS_TO_COMPARE_WITH = 8;
+/**
+ * A read of each of two tables and one long poll, until the VM knows its role;
+ * a read of the VM list and a row written to it.
+ */
+const CALLS_TO_START = 6;
 
 /** What a VM sent, and its calls to the store, per second. */
 interface Rates {
@@ -23,6 +28,8 @@
 interface Measurement {
   schedulers: Rates[];
   members: Rates[];
+  /** Calls to the store until all VMs had started and settled. */
+  startCalls: number;
   fleet: SimulatedFleet;
 }
 
@@ -37,6 +44,10 @@
   const first = fleet.measureTraffic();
   await fleet.clock.advance(MEASURED_SECONDS * 1_000);
   const last = fleet.measureTraffic();
+  let startCalls = 0;
+  for (const { storeCalls } of first.values()) {
+    startCalls += storeCalls;
+  }
   const schedulers: Rates[] = [];
   const members: Rates[] = [];
   for (const [name, vm] of fleet.vms) {
@@ -50,7 +61,7 @@
     };
     (vm.fleet.isScheduler ? schedulers : members).push(rates);
   }
-  return { schedulers, members, fleet };
+  return { schedulers, members, startCalls, fleet };
 }
 
 function computeMean(rates: readonly Rates[], key: keyof Rates): number {
@@ -118,6 +129,13 @@
         );
       });
 
+      it("a starting VM calls the store six times", () => {
+        const followed = 2 * SCHEDULERS * SETTLING_MILLISECONDS / 1_000;
+        expect(measured.startCalls).to.be.at.most(
+          CALLS_TO_START * count + followed,
+        );
+      });
+
       it("a member's messages do not grow, and its bytes stay within 16 KB/s", () => {
         const { members } = measured;
         expect(computeMean(members, "messages")).to.be.at.most(20);
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -211,6 +211,7 @@
     if (snapshot.value.version >= this.#version) {
       this.#replaceRows(snapshot.value);
     }
+    this.#isRefreshRequested = false;
     this.freshness.confirm(sent);
     return true;
   }
