Wait for a peer that does not read with one listener for all writes

Change: the writes of a connection share one wait. Test: 60 writes to a peer that does not read: 46 listeners before, one now; all waiting writes end when the connection closes.

--- a/packages/protocol/src/framed_socket.ts
+++ b/packages/protocol/src/framed_socket.ts
@@ -16,6 +16,8 @@
   #received = new Deferred<void>();
   #hasEnded = false;
   #error: Error | undefined;
+  /** Settles when the socket's buffer is empty; shared by all writes. */
+  #drained: Promise<void> | undefined;
 
   /** Takes ownership of the socket, which `close` or the peer ends. */
   constructor(socket: Socket, maximumFrameBytes: number) {
@@ -70,6 +72,13 @@
     if (isWritten) {
       return;
     }
+    this.#drained ??= this.#waitForDrain().finally(() =>
+      this.#drained = undefined
+    );
+    await this.#drained;
+  }
+
+  async #waitForDrain(): Promise<void> {
     const ended = new AbortController();
     const stop = () => ended.abort();
     this.#socket.once("close", stop);
