Follow the store with one VM of each zone

Change: the first scheduler of a zone follows the store and sends changes to the zone's other schedulers, each scheduler to its members; the VM list is read again by followers. Where all VMs of a zone are schedulers, each follows as before. A zone whose follower fails gets a change by the ages in the schedulers' states, or polls after two seconds. Tests: 'following the store for a zone': one follower a zone, calls, a change within 2 s when the follower is killed, frozen, cut off or turned away, within 3 s when its zone is cut off besides, keys confirmed while four followers of each zone freeze in turn.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -162,7 +162,7 @@
       sender,
       clock,
       logger: logger.forPart("peers"),
-      listMembers: () => this.#server.listMembers(),
+      listReceivers: () => this.#listTableReceivers(),
       isAfterOutage: () => state.directory.isHoldingRemovals,
       holdRemovals: () => state.directory.scheduleRemovals(),
     });
@@ -181,7 +181,7 @@
       ...options,
       self,
       logger: logger.forPart("membership"),
-      isScheduler: () => this.#roles.isScheduler,
+      isFollower: () => this.#roles.isFollower,
       isAnswering: (vm) =>
         this.#membership.listAnswering(self.zone).some((known) =>
           known.vm === vm
@@ -253,6 +253,11 @@
     return this.#roles.isScheduler;
   }
 
+  /** Whether this VM follows the store for other VMs of its zone too. */
+  get isFollower(): boolean {
+    return this.#roles.isFollower;
+  }
+
   /** Counts the schedulers that sent their state recently. */
   countLiveSchedulers(): number {
     return this.#exchange.countLive();
@@ -309,6 +314,19 @@
     });
   }
 
+  /** A follower sends changes to the zone's schedulers, and all to members. */
+  #listTableReceivers(): Set<VmId> {
+    const { vm } = this.#options.settings.self;
+    const receivers = new Set(this.#server.listMembers());
+    if (this.#roles.isFollower) {
+      this.#roles.schedulers.forEach((scheduler) =>
+        receivers.add(scheduler.vm)
+      );
+      receivers.delete(vm);
+    }
+    return receivers;
+  }
+
   #createExchange(): StateExchange {
     const { state, logger } = this.#options;
     return new StateExchange({
--- a/packages/forwarding/src/fleet/scheduler_roles.ts
+++ b/packages/forwarding/src/fleet/scheduler_roles.ts
@@ -79,6 +79,16 @@
     return this.#isSelfScheduler;
   }
 
+  /**
+   * Whether this VM follows the store for its zone. Where all VMs of the zone
+   * are schedulers, each follows it for itself.
+   */
+  get isFollower(): boolean {
+    const isFirst = this.#schedulers[0]?.vm === this.#options.self.vm;
+    return this.#isSelfScheduler &&
+      (isFirst || this.zoneVms <= this.#schedulersPerZone);
+  }
+
   /** The number of live VMs in this VM's zone. */
   get zoneVms(): number {
     const { members, self } = this.#options;
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -61,7 +61,7 @@
     sender,
     clock,
     logger: createSilentLogger(),
-    listMembers: () => [],
+    listReceivers: () => [],
     isAfterOutage: () => false,
     holdRemovals: () => {},
   });
--- a/packages/forwarding/src/fleet/table_distributor.ts
+++ b/packages/forwarding/src/fleet/table_distributor.ts
@@ -34,14 +34,14 @@
   clock: Clock;
   logger: Logger;
   /** Lists the VMs to which changes are sent. */
-  listMembers: () => Iterable<VmId>;
+  listReceivers: () => Iterable<VmId>;
   /** Whether removals may be due to an outage of the store. */
   isAfterOutage: () => boolean;
   /** Called before removals are applied that may be due to an outage. */
   holdRemovals: () => void;
 }
 
-/** Sends changes to members at once, and whole copies on request. */
+/** Sends changes to other VMs at once, and whole copies on request. */
 export class TableDistributor {
   readonly #options: TableDistributorOptions;
   readonly #requestedAt = new Map<string, number>();
@@ -125,7 +125,7 @@
   }
 
   #sendUpdate({ table }: TableReplica, update: TableUpdate): void {
-    const { sender, listMembers, logger, isAfterOutage } = this.#options;
+    const { sender, listReceivers, logger, isAfterOutage } = this.#options;
     const rows = update.rows.map(convertRow);
     if (sumBytes(rows) > MAX_COPY_BYTES) {
       logger.warn("changes of a table are too large to send to other VMs", {
@@ -144,8 +144,8 @@
       removedKeys: [...update.removedKeys],
       isAfterOutage: isAfterOutage(),
     };
-    for (const member of listMembers()) {
-      sender.send(member, message);
+    for (const receiver of listReceivers()) {
+      sender.send(receiver, message);
     }
   }
 
--- /dev/null
+++ b/packages/forwarding/src/fleet/table_following_test.ts
@@ -0,0 +1,130 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { buildConfiguration } from "../testing/fixtures.ts";
+import {
+  SimulatedFleet,
+  type SimulatedVm,
+} from "../testing/simulated_fleet.ts";
+
+const VMS = 60;
+const ZONES = 5;
+const MAX_KEY_AGE_MILLISECONDS = 4_600;
+const TABLES = 2;
+/** A long poll lasts 1.25 s, shortened by 20 % on average. */
+const MEAN_POLL_SECONDS = 1;
+
+async function startFleet(seed: number): Promise<SimulatedFleet> {
+  const fleet = new SimulatedFleet({ seed, zones: ZONES, endpoints: 10 });
+  await fleet.startAll(VMS);
+  await fleet.clock.advance(4_000);
+  return fleet;
+}
+
+function listZone(fleet: SimulatedFleet, zone: string): SimulatedVm[] {
+  return [...fleet.vms.values()].filter(({ contact }) => contact.zone === zone);
+}
+
+function findFollower(fleet: SimulatedFleet, zone: string): SimulatedVm {
+  const follower = listZone(fleet, zone).find(({ fleet }) => fleet.isFollower);
+  if (follower === undefined) {
+    throw new Error(`No VM of zone "${zone}" follows the store`);
+  }
+  return follower;
+}
+
+function listVersions(vms: readonly SimulatedVm[]): Set<number | undefined> {
+  return new Set(
+    vms.map(({ state }) => state.routes?.configuration.version),
+  );
+}
+
+function applyVersion(fleet: SimulatedFleet, version: number): void {
+  fleet.store.put("operator", "configuration", buildConfiguration({ version }));
+}
+
+describe("following the store for a zone", () => {
+  it("one VM of each zone follows, and all have a change within 1 s (seed 1)", async () => {
+    const fleet = await startFleet(1);
+    const followers = [...fleet.vms.values()].filter(({ fleet }) =>
+      fleet.isFollower
+    );
+    expect(new Set(followers.map(({ contact }) => contact.zone)))
+      .to.have.lengthOf(ZONES);
+    expect(followers).to.have.lengthOf(ZONES);
+    applyVersion(fleet, 2);
+    await fleet.clock.advance(1_000);
+    expect(listVersions([...fleet.vms.values()])).to.deep.equal(new Set([2]));
+    fleet.stop();
+  });
+
+  it("the store gets the long polls of one VM for each zone (seed 2)", async () => {
+    const fleet = await startFleet(2);
+    const before = fleet.measureTraffic();
+    await fleet.clock.advance(10_000);
+    let calls = 0;
+    for (const [vm, { storeCalls }] of fleet.measureTraffic()) {
+      calls += storeCalls - (before.get(vm)?.storeCalls ?? 0);
+    }
+    expect(calls / 10).to.be.at.most(
+      1.1 * ZONES * TABLES / MEAN_POLL_SECONDS,
+    );
+    fleet.stop();
+  });
+
+  const failures: [string, (f: SimulatedFleet, vm: SimulatedVm) => void][] = [
+    ["killed", (fleet, vm) => fleet.kill(vm)],
+    ["frozen", (_, vm) => vm.clock.freeze()],
+    ["cut off", (fleet, vm) => fleet.network.partition([vm.contact.vm], 1)],
+    ["turned away by the store", (_, vm) => vm.feed.isRejected = true],
+  ];
+  for (const [name, fail] of failures) {
+    it(`a change reaches the zone within 2 s when its follower is ${name} (seed 3)`, async () => {
+      const fleet = await startFleet(3);
+      const follower = findFollower(fleet, "zone-0");
+      fail(fleet, follower);
+      applyVersion(fleet, 2);
+      await fleet.clock.advance(2_000);
+      const others = listZone(fleet, "zone-0").filter((vm) => vm !== follower);
+      expect(listVersions(others)).to.deep.equal(new Set([2]));
+      fleet.stop();
+    });
+  }
+
+  it("a zone that is cut off from the others and loses its follower has a change within 3 s (seed 4)", async () => {
+    const fleet = await startFleet(4);
+    const zone = listZone(fleet, "zone-0").map(({ contact }) => contact.vm);
+    fleet.network.partition(zone, 1);
+    fleet.kill(findFollower(fleet, "zone-0"));
+    applyVersion(fleet, 2);
+    await fleet.clock.advance(3_000);
+    expect(listVersions(listZone(fleet, "zone-0")))
+      .to.deep.equal(new Set([2]));
+    fleet.stop();
+  });
+
+  it("keys stay confirmed while followers fail one after the other (seed 5)", async () => {
+    const fleet = await startFleet(5);
+    const failed = new Set<SimulatedVm>();
+    for (let round = 0; round < 4; round++) {
+      for (let zone = 0; zone < ZONES; zone++) {
+        const follower = listZone(fleet, `zone-${zone}`).find((vm) =>
+          vm.fleet.isFollower && !failed.has(vm)
+        );
+        if (follower !== undefined) {
+          follower.clock.freeze();
+          failed.add(follower);
+        }
+      }
+      for (let step = 0; step < 30; step++) {
+        await fleet.clock.advance(100);
+        for (const vm of fleet.vms.values()) {
+          if (!failed.has(vm)) {
+            expect(vm.state.configuration.freshness.computeAge())
+              .to.be.below(MAX_KEY_AGE_MILLISECONDS);
+          }
+        }
+      }
+    }
+    fleet.stop();
+  });
+});
--- a/packages/forwarding/src/fleet/vm_list.ts
+++ b/packages/forwarding/src/fleet/vm_list.ts
@@ -7,7 +7,7 @@
 
 const TABLE = "vms";
 const RETRY_MILLISECONDS = 1_000;
-/** Schedulers read the list again, so that separated groups find each other. */
+/** Followers read the list again, so that separated groups find each other. */
 const REREAD_MILLISECONDS = 15_000;
 /** Rows of VMs that did not answer at this many reads are removed. */
 const READS_UNTIL_REMOVAL = 4;
@@ -19,7 +19,7 @@
   clock: Clock;
   logger: Logger;
   /** Whether this VM reads the list again after its start. */
-  isScheduler: () => boolean;
+  isFollower: () => boolean;
   /** Whether a VM of this VM's zone answers. */
   isAnswering: (vm: VmId) => boolean;
   /** Called with the other VMs after every read. */
@@ -49,10 +49,10 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.#retry(() => this.#writeSelf(signal), signal);
     await this.#retry(() => this.#read(signal), signal);
-    const { clock, isScheduler } = this.#options;
+    const { clock, isFollower } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(REREAD_MILLISECONDS, signal);
-      if (isScheduler() && !signal.aborted) {
+      if (isFollower() && !signal.aborted) {
         await this.#read(signal);
       }
     }
--- a/packages/forwarding/src/fleet/vm_list_test.ts
+++ b/packages/forwarding/src/fleet/vm_list_test.ts
@@ -8,7 +8,7 @@
   return { vm, zone, host: vm, controlPort: 1, callerPort: 2, capacity: 0.5 };
 }
 
-function createList(options: { isScheduler: boolean }) {
+function createList(options: { isFollower: boolean }) {
   const clock = new ManualClock();
   const feed = new MemoryFeed(clock);
   const contacts = new Set<string>();
@@ -18,7 +18,7 @@
     feed,
     clock,
     logger: createSilentLogger(),
-    isScheduler: () => options.isScheduler,
+    isFollower: () => options.isFollower,
     isAnswering: (vm) => answering.has(vm),
     addContacts: (added) => added.forEach(({ vm }) => contacts.add(vm)),
   });
@@ -31,7 +31,7 @@
 
 describe("VmList", () => {
   it("registers this VM, finds the others, and then calls the store no more", async () => {
-    const fixture = createList({ isScheduler: false });
+    const fixture = createList({ isFollower: false });
     fixture.feed.put("vms", "vm-2", buildContact("vm-2"));
     fixture.start();
     await fixture.clock.advance(10);
@@ -45,7 +45,7 @@
   });
 
   it("retries until the store is available, and ignores rows that hold no contact", async () => {
-    const fixture = createList({ isScheduler: false });
+    const fixture = createList({ isFollower: false });
     fixture.feed.isDown = true;
     fixture.feed.put("vms", "vm-2", buildContact("vm-2"));
     fixture.feed.put("vms", "vm-3", "no contact");
@@ -59,7 +59,7 @@
   });
 
   it("removes the row of a VM of its zone that has not answered for a minute", async () => {
-    const fixture = createList({ isScheduler: true });
+    const fixture = createList({ isFollower: true });
     fixture.feed.put("vms", "vm-2", buildContact("vm-2"));
     fixture.feed.put("vms", "vm-3", buildContact("vm-3"));
     fixture.feed.put("vms", "vm-4", buildContact("vm-4", "zone-b"));
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -110,7 +110,7 @@
       logger: logger.forPart("beliefs"),
       maxKeyAgeMilliseconds: bounds.revocationMilliseconds -
         REVOCATION_MARGIN_MILLISECONDS,
-      isPolling: () => this.#fleet.isScheduler,
+      isPolling: () => this.#fleet.isFollower,
     });
     this.#transport = new EndpointTransport(settings.callers.host, signal);
     this.#services = new ServiceRegistry({
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -207,7 +207,7 @@
       random,
       logger,
       maxKeyAgeMilliseconds: 4_600,
-      isPolling: () => fleet.isScheduler,
+      isPolling: () => fleet.isFollower,
     });
     const crashes = new CrashTracker({
       clock,
