--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -13,7 +13,7 @@
 import type { CallerLimits } from "../model/route.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
-import { IntakeQueue } from "./intake_queue.ts";
+import { IntakeQueue, type IntakeTurn } from "./intake_queue.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const RETRY_AFTER_MILLISECONDS = 300;
@@ -75,8 +75,8 @@
     lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
-  /** Records the length of a turn of the event loop that had work. */
-  recordTurn: (milliseconds: number) => void;
+  /** Records a turn of the event loop in which requests were begun. */
+  recordTurn: (turn: IntakeTurn) => void;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
--- a/packages/forwarding/src/ingress/intake_queue.ts
+++ b/packages/forwarding/src/ingress/intake_queue.ts
@@ -1,5 +1,6 @@
 /** Orders the requests that a VM has read and not begun to serve. */
 
+import { nextTick } from "node:process";
 import { setImmediate as waitForTurn } from "node:timers/promises";
 import { type Clock, Deferred } from "@rattanvane/base";
 import type { OrganisationId } from "@rattanvane/protocol";
@@ -9,14 +10,23 @@
  * its caller has left before it was read, that poll tells.
  */
 const MIN_TURNS = 2;
+/** The time for beginning requests in a turn; at least one is begun. */
+const TURN_BUDGET_MILLISECONDS = 15;
 
 /** Dependencies and limit of an {@link IntakeQueue}. */
 export interface IntakeQueueOptions {
   clock: Clock;
   /** How many requests of one organisation may wait. */
   maxWaitingPerOrganisation: number;
-  /** Records the length of a turn of the event loop, in milliseconds. */
-  recordTurn: (milliseconds: number) => void;
+  /** Records a turn of the event loop in which requests were begun. */
+  recordTurn: (turn: IntakeTurn) => void;
+}
+
+/** A turn of the event loop, in milliseconds. */
+export interface IntakeTurn {
+  turnMilliseconds: number;
+  /** How long the request that was begun last had waited. */
+  waitedMilliseconds: number;
 }
 
 interface IntakeEntry {
@@ -24,13 +34,14 @@
   signal: AbortSignal;
   /** The turn in which the request was added. */
   turn: number;
+  addedAt: number;
 }
 
 /**
- * Begins one request in each turn of the event loop. The event loop accepts one
- * connection in a turn, so short turns let a busy VM take new connections and
- * notice callers that leave. Organisations take turns, so that requests of one
- * that floods this VM wait behind each other only.
+ * Begins requests for a limited time in each turn of the event loop, so that a
+ * busy VM accepts connections and notices callers that leave. Organisations
+ * take turns, so that requests of one that floods this VM wait behind each other
+ * only.
  *
  * Load: one organisation sends more requests to a VM than its processor serves.
  */
@@ -62,7 +73,12 @@
       return Promise.resolve(false);
     }
     const admission = new Deferred<boolean>();
-    entries.push({ admission, signal, turn: this.#turn });
+    entries.push({
+      admission,
+      signal,
+      turn: this.#turn,
+      addedAt: this.#options.clock.now(),
+    });
     this.#waiting.set(organisation, entries);
     if (!this.#isRunning) {
       this.#isRunning = true;
@@ -77,16 +93,35 @@
     while (this.#waiting.size > 0) {
       await waitForTurn();
       this.#turn++;
-      const endedAt = clock.now();
-      recordTurn(endedAt - startedAt);
-      startedAt = endedAt;
-      this.#beginNext();
+      const now = clock.now();
+      const turnMilliseconds = now - startedAt;
+      startedAt = now;
+      const waitedMilliseconds = await this.#beginWithinBudget(now);
+      recordTurn({ turnMilliseconds, waitedMilliseconds });
     }
     this.#isRunning = false;
   }
 
-  /** Begins the next request whose caller has not left. */
-  #beginNext(): void {
+  /** Begins requests and returns how long the last one had waited. */
+  async #beginWithinBudget(startedAt: number): Promise<number> {
+    const { clock } = this.#options;
+    let waitedMilliseconds = 0;
+    let now = startedAt;
+    while (now - startedAt < TURN_BUDGET_MILLISECONDS) {
+      const entry = this.#takeFromNextOrganisation();
+      if (entry === undefined) {
+        break;
+      }
+      waitedMilliseconds = now - entry.addedAt;
+      entry.admission.resolve(true);
+      // Lets the request go as far as it can without waiting.
+      await new Promise<void>((resolve) => nextTick(resolve));
+      now = clock.now();
+    }
+    return waitedMilliseconds;
+  }
+
+  #takeFromNextOrganisation(): IntakeEntry | undefined {
     for (const [organisation, entries] of this.#waiting) {
       const entry = this.#takeNext(entries);
       if (entries.length === 0) {
@@ -94,10 +129,10 @@
       }
       if (entry !== undefined) {
         this.#moveToEnd(organisation);
-        entry.admission.resolve(true);
-        return;
+        return entry;
       }
     }
+    return undefined;
   }
 
   /** Takes the first entry that is old enough; ends those of left callers. */
