--- a/packages/forwarding/src/fleet/table_following_test.ts
+++ b/packages/forwarding/src/fleet/table_following_test.ts
@@ -102,6 +102,23 @@
     fleet.stop();
   });
 
+  it("no VM takes its keys for fresher than the store's last answer (seed 6)", async () => {
+    const fleet = await startFleet(6);
+    fleet.store.isDown = true;
+    const downAt = fleet.clock.now();
+    for (let step = 0; step < 50; step++) {
+      await fleet.clock.advance(100);
+      for (const { state } of fleet.vms.values()) {
+        expect(state.configuration.freshness.computeAge())
+          .to.be.at.least(fleet.clock.now() - downAt);
+      }
+    }
+    for (const { state } of fleet.vms.values()) {
+      expect(state.areKeysFresh()).to.equal(false);
+    }
+    fleet.stop();
+  });
+
   it("keys stay confirmed while followers fail one after the other (seed 5)", async () => {
     const fleet = await startFleet(5);
     const failed = new Set<SimulatedVm>();
