Let the test of key confirmations fail when ages count from the reply

Change: links of 40 ms. With ages counted from the reply it fails, with the code as it is it passes.

--- a/packages/forwarding/src/fleet/table_following_test.ts
+++ b/packages/forwarding/src/fleet/table_following_test.ts
@@ -13,8 +13,16 @@
 /** A long poll lasts 1.25 s, shortened by 20 % on average. */
 const MEAN_POLL_SECONDS = 1;
 
-async function startFleet(seed: number): Promise<SimulatedFleet> {
-  const fleet = new SimulatedFleet({ seed, zones: ZONES, endpoints: 10 });
+async function startFleet(
+  seed: number,
+  latencyMilliseconds = 0.5,
+): Promise<SimulatedFleet> {
+  const fleet = new SimulatedFleet({
+    seed,
+    zones: ZONES,
+    endpoints: 10,
+    latencyMilliseconds,
+  });
   await fleet.startAll(VMS);
   await fleet.clock.advance(4_000);
   return fleet;
@@ -103,7 +111,7 @@
   });
 
   it("no VM takes its keys for fresher than the store's last answer (seed 6)", async () => {
-    const fleet = await startFleet(6);
+    const fleet = await startFleet(6, 40);
     fleet.store.isDown = true;
     const downAt = fleet.clock.now();
     for (let step = 0; step < 50; step++) {
