Measure overload by the idle time of the event loop, and keep a shorter accept queue

It accepts some 250 connections a second, as many as its processor serves, from a queue of 511 that is always full, so each that it accepts is two seconds old and its caller has left.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -157,6 +157,7 @@
     this.#overload = new OverloadDetector({
       clock,
       logger: logger.forPart("ingress"),
+      readIdleMilliseconds: () => performance.eventLoopUtilization().idle,
     });
     this.#ingress = this.#createIngress();
     this.#readiness = new ReadinessServer({
@@ -290,9 +291,9 @@
           : undefined,
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
-      recordTurn: (turn) => {
-        this.#metrics.recordTurn(turn.turnMilliseconds);
-        this.#overload.recordTurn(turn);
+      recordTurn: (milliseconds) => {
+        this.#metrics.recordTurn(milliseconds);
+        this.#overload.update();
       },
     });
   }
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -13,10 +13,15 @@
 import type { CallerLimits } from "../model/route.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
-import { IntakeQueue, type IntakeTurn } from "./intake_queue.ts";
+import { IntakeQueue } from "./intake_queue.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const RETRY_AFTER_MILLISECONDS = 300;
+/**
+ * Connections that wait to be accepted. A longer queue holds connections of a
+ * busy VM until their callers have given up, and those behind them as well.
+ */
+const LISTEN_BACKLOG = 128;
 /** More requests of one organisation would be answered too late. */
 const MAX_INTAKE_PER_ORGANISATION = 100;
 
@@ -75,8 +80,8 @@
     lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
-  /** Records a turn of the event loop in which requests were begun. */
-  recordTurn: (turn: IntakeTurn) => void;
+  /** Records the length of a turn of the event loop, in milliseconds. */
+  recordTurn: (milliseconds: number) => void;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
@@ -109,7 +114,7 @@
   /** Listens until the signal aborts; rejects when the port is in use. */
   async start(signal: AbortSignal): Promise<void> {
     const { host, port } = this.#options;
-    this.#server.listen(port, host);
+    this.#server.listen({ port, host, backlog: LISTEN_BACKLOG });
     await once(this.#server, "listening", { signal });
     signal.addEventListener("abort", () => this.#server.closeAllConnections(), {
       once: true,
--- a/packages/forwarding/src/ingress/intake_queue.ts
+++ b/packages/forwarding/src/ingress/intake_queue.ts
@@ -18,15 +18,8 @@
   clock: Clock;
   /** How many requests of one organisation may wait. */
   maxWaitingPerOrganisation: number;
-  /** Records a turn of the event loop in which requests were begun. */
-  recordTurn: (turn: IntakeTurn) => void;
-}
-
-/** A turn of the event loop, in milliseconds. */
-export interface IntakeTurn {
-  turnMilliseconds: number;
-  /** How long the request that was begun last had waited. */
-  waitedMilliseconds: number;
+  /** Records the length of a turn of the event loop, in milliseconds. */
+  recordTurn: (milliseconds: number) => void;
 }
 
 interface IntakeEntry {
@@ -34,7 +27,6 @@
   signal: AbortSignal;
   /** The turn in which the request was added. */
   turn: number;
-  addedAt: number;
 }
 
 /**
@@ -73,12 +65,7 @@
       return Promise.resolve(false);
     }
     const admission = new Deferred<boolean>();
-    entries.push({
-      admission,
-      signal,
-      turn: this.#turn,
-      addedAt: this.#options.clock.now(),
-    });
+    entries.push({ admission, signal, turn: this.#turn });
     this.#waiting.set(organisation, entries);
     if (!this.#isRunning) {
       this.#isRunning = true;
@@ -94,31 +81,24 @@
       await waitForTurn();
       this.#turn++;
       const now = clock.now();
-      const turnMilliseconds = now - startedAt;
+      recordTurn(now - startedAt);
       startedAt = now;
-      const waitedMilliseconds = await this.#beginWithinBudget(now);
-      recordTurn({ turnMilliseconds, waitedMilliseconds });
+      await this.#beginWithinBudget(now);
     }
     this.#isRunning = false;
   }
 
-  /** Begins requests and returns how long the last one had waited. */
-  async #beginWithinBudget(startedAt: number): Promise<number> {
+  async #beginWithinBudget(startedAt: number): Promise<void> {
     const { clock } = this.#options;
-    let waitedMilliseconds = 0;
-    let now = startedAt;
-    while (now - startedAt < TURN_BUDGET_MILLISECONDS) {
+    while (clock.now() - startedAt < TURN_BUDGET_MILLISECONDS) {
       const entry = this.#takeFromNextOrganisation();
       if (entry === undefined) {
-        break;
+        return;
       }
-      waitedMilliseconds = now - entry.addedAt;
       entry.admission.resolve(true);
       // Lets the request go as far as it can without waiting.
       await new Promise<void>((resolve) => nextTick(resolve));
-      now = clock.now();
     }
-    return waitedMilliseconds;
   }
 
   #takeFromNextOrganisation(): IntakeEntry | undefined {
