--- a/packages/forwarding/src/admission/admission.ts
+++ b/packages/forwarding/src/admission/admission.ts
@@ -1,7 +1,7 @@
 /** Contract for admitting requests to endpoints. */
 
 import type { EndpointId, ZoneId } from "@rattanvane/protocol";
-import type { OutcomeKind } from "../model/attempt_outcome.ts";
+import { OutcomeKind } from "../model/attempt_outcome.ts";
 import type { SchedulableCall } from "../model/call.ts";
 import type { Refusal } from "../scheduling/refusal.ts";
 
@@ -49,6 +49,14 @@
   longestPauseMilliseconds: number;
 }
 
+/** The report of a grant that was not used. */
+export const UNUSED_REPORT: AttemptReport = {
+  kind: OutcomeKind.Stopped,
+  isConnectionRefused: false,
+  firstMilliseconds: undefined,
+  longestPauseMilliseconds: 0,
+};
+
 /** Permission to send one attempt. Ends with its report. */
 export abstract class AttemptGrant {
   abstract readonly endpoint: GrantedEndpoint;
--- a/packages/forwarding/src/admission/admission_server.ts
+++ b/packages/forwarding/src/admission/admission_server.ts
@@ -15,7 +15,12 @@
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import type { SchedulableCall } from "../model/call.ts";
 import type { Refusal } from "../scheduling/refusal.ts";
-import type { Admission, AttemptGrant, AttemptReport } from "./admission.ts";
+import {
+  type Admission,
+  type AttemptGrant,
+  type AttemptReport,
+  UNUSED_REPORT,
+} from "./admission.ts";
 
 /** A member that sends no sync for this time has gone or left. */
 const MEMBER_LIFETIME_MILLISECONDS = 2_000;
@@ -308,13 +313,6 @@
   }
 }
 
-const UNUSED_REPORT: AttemptReport = {
-  kind: OutcomeKind.Stopped,
-  isConnectionRefused: false,
-  firstMilliseconds: undefined,
-  longestPauseMilliseconds: 0,
-};
-
 /** Ends an entry whose attempt, if there was one, is not reported on. */
 function stopEntry({ lifetime, grant, adopted }: Entry): void {
   lifetime.abort();
--- a/packages/forwarding/src/admission/remote_admission.ts
+++ b/packages/forwarding/src/admission/remote_admission.ts
@@ -17,7 +17,6 @@
   type SubmitRequestMessage,
   type VmId,
 } from "@rattanvane/protocol";
-import { OutcomeKind } from "../model/attempt_outcome.ts";
 import { RefusalKind } from "../scheduling/refusal.ts";
 import {
   Admission,
@@ -27,6 +26,7 @@
   type AttemptReport,
   type GrantedEndpoint,
   type GrantForecast,
+  UNUSED_REPORT,
 } from "./admission.ts";
 import type { SchedulerSelector } from "./scheduler_selector.ts";
 
@@ -296,13 +296,6 @@
   }
 }
 
-const UNUSED_REPORT: AttemptReport = {
-  kind: OutcomeKind.Stopped,
-  isConnectionRefused: false,
-  firstMilliseconds: undefined,
-  longestPauseMilliseconds: 0,
-};
-
 type AttemptMessage = Parameters<MessageSender["send"]>[1];
 
 /** An attempt that a scheduler on another VM granted. */
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -1,6 +1,5 @@
 /** Chooses among model engines by the predicted time to the first event. */
 
-import { computePairScore, hashText } from "@rattanvane/base";
 import type { Prompt, SchedulableCall } from "../model/call.ts";
 import type { EngineCapacity } from "../model/route.ts";
 import {
@@ -10,29 +9,20 @@
   NoCapacityReason,
 } from "./endpoint_chooser.ts";
 import type { EndpointState } from "./endpoint_state.ts";
+import {
+  EngineGrouping,
+  type EngineGroups,
+  findAffinityEngine,
+} from "./engine_grouping.ts";
 import {
   type AdmissionLimits,
   DEFAULT_ENGINE_CHOOSER_SETTINGS,
   type EngineChooserSettings,
 } from "./engine_chooser_settings.ts";
 import { computePairs, type PrefillModel } from "./prefill_model.ts";
-import { findAffinityPart } from "./prompt_cache_map.ts";
 import { ShareUsage } from "./share_meter.ts";
 
 const TOKENS_PER_THOUSAND = 1_000;
-/** With fewer engines, all of them accept long prompts. */
-const MIN_ENGINES_FOR_LONG_PROMPT_SPLIT = 4;
-/** Ranks the engines for long prompts. */
-const LONG_PROMPT_RANKING_HASH = hashText("long");
-
-/** A division of the usable engines by the prompts that they serve. */
-interface EngineGroups {
-  all: readonly EndpointState[];
-  /** Empty if there are too few engines to divide them. */
-  long: ReadonlySet<EndpointState>;
-  /** The engines that prompts are assigned to by their shared parts. */
-  affinity: readonly EndpointState[];
-}
 
 /** What holds for a request at all engines. */
 interface Query {
@@ -70,7 +60,7 @@
   readonly #capacity: EngineCapacity;
   readonly #model: PrefillModel;
   readonly #settings: EngineChooserSettings;
-  #groups: EngineGroups = { all: [], long: new Set(), affinity: [] };
+  readonly #grouping: EngineGrouping;
   /** The list of endpoints for which {@link #openEngines} was computed. */
   #openEnginesSource: readonly EndpointState[] | undefined;
   /** Engines that are not at a limit, by what the limits depend on. */
@@ -85,6 +75,7 @@
     this.#capacity = capacity;
     this.#model = model;
     this.#settings = settings;
+    this.#grouping = new EngineGrouping(settings.longPromptEngineFraction);
   }
 
   /**
@@ -131,7 +122,7 @@
     endpoints: readonly EndpointState[],
   ): Query {
     const { identity: { prompt }, route } = request.call;
-    const groups = this.#findGroups(endpoints);
+    const groups = this.#grouping.find(endpoints);
     return {
       request,
       route,
@@ -339,64 +330,6 @@
         ? endpoint.running * settings.delayedStreamPenaltyMilliseconds
         : settings.shortPromptPenaltyMilliseconds);
   }
-
-  #findGroups(endpoints: readonly EndpointState[]): EngineGroups {
-    if (!hasSameElements(this.#groups.all, endpoints)) {
-      const long = this.#pickLongPromptEngines(endpoints);
-      const affinity = endpoints.filter((endpoint) => !long.has(endpoint));
-      this.#groups = { all: endpoints, long, affinity };
-    }
-    return this.#groups;
-  }
-
-  /** Ranks by rendezvous hashing, so that all VMs pick the same engines. */
-  #pickLongPromptEngines(
-    endpoints: readonly EndpointState[],
-  ): ReadonlySet<EndpointState> {
-    const count = Math.max(
-      1,
-      Math.round(endpoints.length * this.#settings.longPromptEngineFraction),
-    );
-    if (endpoints.length < MIN_ENGINES_FOR_LONG_PROMPT_SPLIT) {
-      return new Set();
-    }
-    const ranked = [...endpoints].sort((first, second) =>
-      computePairScore(LONG_PROMPT_RANKING_HASH, second.idHash) -
-      computePairScore(LONG_PROMPT_RANKING_HASH, first.idHash)
-    );
-    return new Set(ranked.slice(0, count));
-  }
-}
-
-function hasSameElements<Element>(
-  first: readonly Element[],
-  second: readonly Element[],
-): boolean {
-  return first === second ||
-    first.length === second.length &&
-      first.every((element, index) => element === second[index]);
-}
-
-/** Finds the engine that requests with the same shared prompt parts go to. */
-function findAffinityEngine(
-  prompt: Prompt | undefined,
-  endpoints: readonly EndpointState[],
-): EndpointState | undefined {
-  const part = prompt === undefined ? undefined : findAffinityPart(prompt);
-  if (part === undefined) {
-    return undefined;
-  }
-  const partHash = hashText(part.id);
-  let best: EndpointState | undefined;
-  let bestScore = -1;
-  for (const endpoint of endpoints) {
-    const score = computePairScore(partHash, endpoint.idHash);
-    if (score > bestScore) {
-      best = endpoint;
-      bestScore = score;
-    }
-  }
-  return best;
 }
 
 function isOverShare(usage: ShareUsage): boolean {
