--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -1,11 +1,16 @@
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import { buildRoute } from "../testing/fixtures.ts";
-import { runDepartingCallers } from "../testing/departing_callers.ts";
+import {
+  countEstablishedConnections,
+  runDepartingCallers,
+} from "../testing/departing_callers.ts";
 import { RouterHarness, sendValidResponse } from "../testing/router_harness.ts";
 
 const CALLERS = 20;
 const SETTLING_MILLISECONDS = 300;
+/** A VM that accepts 250 connections a second takes these within 0.6 s. */
+const MAX_QUEUED_CONNECTIONS = 150;
 
 let harness = new RouterHarness();
 
@@ -38,4 +43,14 @@
     await new Promise((resolve) => setTimeout(resolve, SETTLING_MILLISECONDS));
     expect(harness.receivedRequests).to.have.lengthOf(1);
   });
+
+  it("keeps few connections that it does not accept", async () => {
+    const router = await harness.startReadyRouter();
+    const established = await countEstablishedConnections({
+      ...router.settings.callers,
+      callers: 400,
+      busyMilliseconds: 500,
+    });
+    expect(established).to.be.within(1, MAX_QUEUED_CONNECTIONS);
+  });
 });
--- a/packages/forwarding/src/testing/departing_callers.ts
+++ b/packages/forwarding/src/testing/departing_callers.ts
@@ -1,4 +1,4 @@
-/** Callers that send their requests and leave while the process is busy. */
+/** Callers that connect, send or leave while the process is busy. */
 
 import { Worker } from "node:worker_threads";
 
@@ -48,3 +48,42 @@
   }
   await worker.terminate();
 }
+
+const CONNECTIONS_MODULE = `
+const { connect } = require("node:net");
+const { workerData } = require("node:worker_threads");
+const { host, port, callers, shared } = workerData;
+const state = new Int32Array(shared);
+for (let caller = 0; caller < callers; caller++) {
+  const socket = connect(port, host, () => Atomics.add(state, 0, 1));
+  socket.on("error", () => socket.destroy());
+}
+`;
+
+/** How many callers connect, and how long the process accepts none of them. */
+export interface BusyProcessOptions {
+  host: string;
+  port: number;
+  callers: number;
+  busyMilliseconds: number;
+}
+
+/**
+ * Counts the connections that callers from another thread get established while
+ * this thread is blocked.
+ */
+export async function countEstablishedConnections(
+  options: BusyProcessOptions,
+): Promise<number> {
+  const shared = new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT);
+  const state = new Int32Array(shared);
+  const worker = new Worker(CONNECTIONS_MODULE, {
+    eval: true,
+    workerData: { ...options, shared },
+  });
+  await new Promise((resolve) => worker.once("online", resolve));
+  Atomics.wait(state, 1, 0, options.busyMilliseconds);
+  const established = Atomics.load(state, 0);
+  await worker.terminate();
+  return established;
+}
