--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -22,7 +22,6 @@
 import { ForwardRun } from "./ingress/forward_run.ts";
 import { readHealth } from "./ingress/health_check.ts";
 import { IngressServer } from "./ingress/ingress_server.ts";
-import { OverloadDetector } from "./ingress/overload_detector.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
 import type { ForwardedCall } from "./model/call.ts";
@@ -78,7 +77,6 @@
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
   readonly #prober: EndpointProber;
-  readonly #overload: OverloadDetector;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
   #phase = RouterPhase.Starting;
@@ -154,11 +152,6 @@
       listSchedulers: () => this.#services.listSchedulers(),
       adoptAttempt: (endpoint) => this.#services.adoptAttempt(endpoint),
     }, signal);
-    this.#overload = new OverloadDetector({
-      clock,
-      logger: logger.forPart("ingress"),
-      readIdleMilliseconds: () => performance.eventLoopUtilization().idle,
-    });
     this.#ingress = this.#createIngress();
     this.#readiness = new ReadinessServer({
       listen: settings.readiness,
@@ -283,18 +276,14 @@
       logger: logger.forPart("ingress"),
       reader,
       findLimits: () => this.#state.routes?.configuration.limits,
-      isLeaving: () =>
-        this.#phase === RouterPhase.ShuttingDown || this.#overload.isOverloaded,
+      isLeaving: () => this.#phase === RouterPhase.ShuttingDown,
       findRejection: (call) =>
         this.#suspects.isQuarantined(call.fingerprint)
           ? RejectionKind.Quarantined
           : undefined,
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
-      recordTurn: (milliseconds) => {
-        this.#metrics.recordTurn(milliseconds);
-        this.#overload.update();
-      },
+      recordTurn: (milliseconds) => this.#metrics.recordTurn(milliseconds),
     });
   }
 
@@ -333,9 +322,7 @@
       case RouterPhase.ShuttingDown:
         return "This VM is shutting down";
       case RouterPhase.Serving:
-        return this.#overload.isOverloaded
-          ? "This VM is overloaded"
-          : undefined;
+        return undefined;
     }
   }
 
