Bound the pause between two passes over the queue

Cause: the pause follows what the last pass took; a pass in which the process is interrupted (a quota of processor time, another process) for 100 ms would have held the queue for 400 ms. Change: 50 ms at most. Test: 'a pass in which the process is interrupted ...'; fails without the bound.

--- a/packages/forwarding/src/scheduling/decision_cost_test.ts
+++ b/packages/forwarding/src/scheduling/decision_cost_test.ts
@@ -68,6 +68,7 @@
 class BusyClock extends Clock {
   readonly manual = new ManualClock();
   #busyMilliseconds = 0;
+  #interruptionMilliseconds = 0;
 
   override now(): number {
     return this.manual.now() + this.#busyMilliseconds;
@@ -81,8 +82,14 @@
     return this.manual.sleep(milliseconds, signal);
   }
 
+  /** Lets the next work take longer, as when another process runs. */
+  interruptNext(milliseconds: number): void {
+    this.#interruptionMilliseconds = milliseconds;
+  }
+
   spend(milliseconds: number): void {
-    this.#busyMilliseconds += milliseconds;
+    this.#busyMilliseconds += milliseconds + this.#interruptionMilliseconds;
+    this.#interruptionMilliseconds = 0;
   }
 
   get busyMilliseconds(): number {
@@ -212,6 +219,25 @@
     expect(endpoint.recentPrefill.tokens).to.equal(0);
   });
 
+  it("a pass in which the process is interrupted delays the next by 50 ms at most", async () => {
+    const { clock, scheduler } = createSlowScheduler(1);
+    const submit = () =>
+      scheduler.submit(
+        buildCall(clock.now(), { deadlineAt: 60_000 }),
+        new Set(),
+        NEVER_ABORTED,
+      );
+    const { grant } = await submit();
+    void submit();
+    const spentBefore = clock.busyMilliseconds;
+    clock.interruptNext(400);
+    scheduler.markResponding(grant as Grant);
+    expect(clock.busyMilliseconds - spentBefore).to.be.at.least(400);
+    const looksBefore = clock.busyMilliseconds;
+    await clock.manual.advance(60);
+    expect(clock.busyMilliseconds).to.be.greaterThan(looksBefore);
+  });
+
   it("passes over a long queue take at most a quarter of the time", async () => {
     const grants: Grant[] = [];
     const { clock, scheduler } = createSlowScheduler(WAITING);
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -30,6 +30,8 @@
  * one took, so that a long queue cannot take all processor time.
  */
 const PASS_PAUSE_FACTOR = 4;
+/** A pass also takes long when the process was interrupted in it. */
+const MAX_PASS_PAUSE_MILLISECONDS = 50;
 /**
  * Peers are notified at once of prompts with this many tokens to process, so
  * that they take them into account when they choose an engine.
@@ -235,7 +237,10 @@
     if (this.#queue.size > 0 && startedAt >= this.#nextPassAt) {
       this.#refuseBlocked(this.#grantInOrder(startedAt));
       const endedAt = this.#options.clock.now();
-      this.#nextPassAt = endedAt + PASS_PAUSE_FACTOR * (endedAt - startedAt);
+      this.#nextPassAt = endedAt + Math.min(
+        MAX_PASS_PAUSE_MILLISECONDS,
+        PASS_PAUSE_FACTOR * (endedAt - startedAt),
+      );
     }
     this.#scheduleQueuePass();
   }
