Log and count responses of endpoints that announce their shutdown

The logs could not tell whether a request reached a leaving endpoint because the endpoint's own notice was not read or because its registration was followed too late. "an attempt ended" now says the registered phase of the endpoint on this VM and whether its response announced the shutdown, and rattanvane_forwarding_leaving_responses_total counts these responses by registered phase: "up" means that the registration was out of date.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -305,6 +305,7 @@
       transport: this.#transport,
       metrics: this.#metrics,
       admission: this.#fleet.admission,
+      findPhase: (endpoint) => this.#state.directory.find(endpoint)?.phase,
       countVms: () => this.#fleet.countVms(),
     }, {
       call,
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -50,6 +50,8 @@
   #control: AnswerControl | undefined;
   /** The endpoint reports that it did not run the request. */
   #isNotRun = false;
+  /** The endpoint reports that it is about to shut down. */
+  #isLeaving = false;
   #isStream = false;
   /** The caller has been sent the headers of this attempt's answer. */
   #hasBegunStream = false;
@@ -93,6 +95,7 @@
     this.#control = control;
     const marks = dialect.readAnswerMetadata(headers);
     this.#isNotRun = marks.isNotRun;
+    this.#isLeaving = marks.isLeaving && status !== STATUS_WRONG_INSTANCE;
     if (marks.isNotRun) {
       return;
     }
@@ -278,6 +281,7 @@
     this.#outcome.resolve({
       kind,
       reason,
+      isLeaving: this.#isLeaving,
       longestPauseMilliseconds: this.#longestPauseMilliseconds,
       pauseAt: this.#pauseAt,
       durationMilliseconds: this.#options.clock.now() - this.#sentAt,
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -1,10 +1,12 @@
 /** Forwards one request: waits for grants, makes attempts and answers once. */
 
 import type { Clock, Logger } from "@rattanvane/base";
+import type { EndpointId } from "@rattanvane/protocol";
 import type { Admission, AttemptGrant } from "../admission/admission.ts";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
+import type { EndpointPhase } from "../model/endpoint_record.ts";
 import { Repeatability } from "../model/route.ts";
 import type { ForwardingMetrics } from "../metrics/forwarding_metrics.ts";
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
@@ -29,6 +31,8 @@
   transport: EndpointTransport;
   metrics: ForwardingMetrics;
   admission: Admission;
+  /** The registered phase of an endpoint; undefined for an unknown one. */
+  findPhase: (endpoint: EndpointId) => EndpointPhase | undefined;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
 }
@@ -177,13 +181,20 @@
   #logAttempt(grant: AttemptGrant, outcome: AttemptOutcome): void {
     const { call } = this.#options;
     const { endpoint, forecast } = grant;
-    this.#environment.metrics.recordAttempt(call, outcome);
+    const { metrics, findPhase } = this.#environment;
+    const phase = findPhase(endpoint.id);
+    metrics.recordAttempt(call, outcome);
+    if (outcome.isLeaving) {
+      metrics.recordLeavingResponse(call, phase);
+    }
     this.#environment.logger.info("an attempt ended", {
       request: call.identity.request,
       service: call.service,
       organisation: call.organisation,
       endpoint: endpoint.id,
       zone: endpoint.zone,
+      phase,
+      isLeaving: outcome.isLeaving,
       outcome: outcome.kind,
       reason: outcome.reason,
       waitedMilliseconds: Math.round(forecast.waitedMilliseconds),
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -3,6 +3,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ForwardedCall } from "../model/call.ts";
 import type { AttemptOutcome } from "../model/attempt_outcome.ts";
+import type { EndpointPhase } from "../model/endpoint_record.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Upper bounds of the histogram buckets. */
@@ -51,6 +52,7 @@
   readonly registry = new Registry();
   readonly #requests: Counter<"service" | "result">;
   readonly #attempts: Counter<"service" | "outcome">;
+  readonly #leavingResponses: Counter<"service" | "registered">;
   readonly #rejections: Counter<"reason">;
   readonly #durations: Histogram<"service">;
   readonly #firstBytes: Histogram<"service">;
@@ -70,6 +72,13 @@
       labelNames: ["service", "outcome"],
       registers,
     });
+    this.#leavingResponses = new Counter({
+      name: "rattanvane_forwarding_leaving_responses_total",
+      help:
+        "Responses of endpoints that announced their shutdown, by registered phase.",
+      labelNames: ["service", "registered"],
+      registers,
+    });
     this.#rejections = new Counter({
       name: "rattanvane_forwarding_rejections_total",
       help: "Requests that were not admitted, by reason.",
@@ -108,6 +117,17 @@
     }
   }
 
+  /**
+   * Counts a response that announces its endpoint's shutdown, by the phase in
+   * which the endpoint was registered at that time.
+   */
+  recordLeavingResponse(
+    { service }: ForwardedCall,
+    phase: EndpointPhase | undefined,
+  ): void {
+    this.#leavingResponses.inc({ service, registered: phase ?? "unknown" });
+  }
+
   /** Counts a request that ended, and its duration in milliseconds. */
   recordResult(
     call: ForwardedCall,
--- a/packages/forwarding/src/model/attempt_outcome.ts
+++ b/packages/forwarding/src/model/attempt_outcome.ts
@@ -45,4 +45,6 @@
   /** When that interval ended, measured from when the attempt was sent. */
   pauseAt: number;
   durationMilliseconds: number;
+  /** Whether the endpoint stated in its response that it shuts down. */
+  isLeaving: boolean;
 }
--- a/packages/forwarding/src/model/dialect.ts
+++ b/packages/forwarding/src/model/dialect.ts
@@ -33,6 +33,8 @@
   isNotRun: boolean;
   /** The response was re-encoded after the endpoint produced it. */
   isReencoded: boolean;
+  /** The endpoint states that it is about to shut down. */
+  isLeaving: boolean;
   load: ReportedLoad | undefined;
 }
 
--- a/packages/forwarding/src/testing/test_dialect.ts
+++ b/packages/forwarding/src/testing/test_dialect.ts
@@ -56,6 +56,7 @@
       isSealed: headers["x-seal"] !== undefined,
       isNotRun: headers["x-not-run"] !== undefined,
       isReencoded: headers["content-encoding"] !== undefined,
+      isLeaving: headers["x-leaving"] !== undefined,
       load: undefined,
     };
   }
