Send nothing to an endpoint after its response announced its shutdown

Cause: a VM learned of a shutdown only from the store's row. The notice in the endpoint's own responses was relayed to callers and not read, so a VM without a path to the store, or while the store was down, went on sending. Class: a fact that a VM has received and passed on is not part of what it decides by. Evidence: the new router test plays it against the stand-in with the store away. Change: the notice counts from the response's head, so that an open stream does not delay it. The directory closes the process that gave it until a process with a later start time registers; an older row does not open it again. Schedulers exchange departures with their state, and a member tells its scheduler at once, since a scheduler that does not know would grant the endpoint again and again. The test of members fails without the message to the scheduler (refusals).

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -10,6 +10,7 @@
 } from "@rattanvane/membership";
 import type { TableFeed } from "@rattanvane/platform";
 import {
+  type EndpointDeparture,
   type ForwardingStateMessage,
   type MembershipMessage,
   type MemberSyncMessage,
@@ -192,6 +193,7 @@
 
   /** Listens for other VMs; throws when the port is in use. */
   async start(signal: AbortSignal): Promise<void> {
+    const { state } = this.#options;
     this.updateSeeds(this.#options.settings.seeds);
     this.#roles.start(signal);
     this.#tables.start(signal);
@@ -205,6 +207,10 @@
         this.#zoneSentAt.delete(contact.vm);
       }
     }, signal);
+    state.directory.departures.listen(
+      (departure) => this.#reportDeparture(departure),
+      signal,
+    );
     this.#selector.losses.listen(
       (vm) => this.#membership.checkSilentVm(vm),
       signal,
@@ -335,6 +341,7 @@
       logger: logger.forPart("peers"),
       configuration: state.configuration,
       endpoints: state.endpoints,
+      directory: state.directory,
       tables: this.#tables,
       isScheduler: () => this.#roles.isScheduler,
       roleChanges: this.#roles.changes,
@@ -355,6 +362,8 @@
         return this.#membership.handle(from, message as MembershipMessage);
       case MessageKind.ForwardingState:
         return this.#mergeState(from, message);
+      case MessageKind.EndpointDeparture:
+        return this.#options.state.directory.recordDeparture(message);
       case MessageKind.ZoneSchedulers:
         return this.#directory.recordZone(
           message.schedulers[0]?.zone ?? "",
@@ -388,6 +397,15 @@
     }
   }
 
+  /** Schedulers exchange departures with their state. */
+  #reportDeparture(departure: EndpointDeparture): void {
+    const scheduler = this.#selector.current;
+    if (scheduler !== undefined) {
+      const kind = MessageKind.EndpointDeparture;
+      this.#network.send(scheduler, { kind, ...departure });
+    }
+  }
+
   #mergeState(from: VmId, message: ForwardingStateMessage): void {
     const { schedulers, zoneVms } = message;
     const sender = schedulers?.find(({ vm }) => vm === from);
--- a/packages/forwarding/src/fleet/fleet_failover_test.ts
+++ b/packages/forwarding/src/fleet/fleet_failover_test.ts
@@ -66,6 +66,33 @@
     fleet.stop();
   });
 
+  it("no scheduler grants an endpoint of which a member learned that it shuts down", async () => {
+    const fleet = await startFleet({ seed: 7 });
+    const [member, scheduler] = findMember(fleet);
+    const load = new SimulatedLoad(fleet.clock);
+    fleet.store.isDown = true;
+    const leaving = ["endpoint-0", "endpoint-1", "endpoint-2"];
+    for (const endpoint of leaving) {
+      member.state.directory.recordDeparture({ endpoint });
+    }
+    await fleet.clock.advance(400);
+    const others = listVms(fleet).filter((vm) => vm !== member);
+    for (let request = 0; request < 20; request++) {
+      for (const vm of [member, scheduler, ...others.slice(0, 10)]) {
+        void load.submit(vm);
+      }
+      await fleet.clock.advance(50);
+    }
+    await fleet.clock.advance(500);
+    const used = new Set(load.decisions.map(({ endpoint }) => endpoint));
+    expect(load.decisions).to.have.lengthOf(240);
+    expect(used).to.not.include.members([undefined]);
+    for (const endpoint of leaving) {
+      expect(used.has(endpoint)).to.equal(false);
+    }
+    fleet.stop();
+  });
+
   const failures: [string, (f: SimulatedFleet, vm: SimulatedVm) => void][] = [
     ["killed", (fleet, vm) => fleet.kill(vm)],
     ["frozen", (_, vm) => vm.clock.freeze()],
--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -15,6 +15,7 @@
   type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
+import type { EndpointDirectory } from "../state/endpoint_directory.ts";
 import type { ClockReading } from "../state/freshness.ts";
 import type { TableReplica } from "../state/table_replica.ts";
 import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
@@ -57,6 +58,7 @@
   shares: ShareMeter;
   configuration: TableReplica;
   endpoints: TableReplica;
+  directory: EndpointDirectory;
   tables: TableDistributor;
   /** Whether this VM is a scheduler; others send and merge no state. */
   isScheduler: () => boolean;
@@ -157,6 +159,9 @@
     if (message.suspects.length > 0) {
       suspects.merge(message.suspects);
     }
+    for (const departure of message.departures ?? []) {
+      this.#options.directory.recordDeparture(departure);
+    }
     this.#mergeAges(from, message);
   }
 
@@ -201,6 +206,7 @@
         }
       }
     }
+    const departures = this.#options.directory.listDepartures();
     const configurationAge = buildAge(configuration);
     const registrations = buildAge(this.#options.endpoints);
     return {
@@ -213,6 +219,7 @@
       schedulers: [...this.#options.listZoneSchedulers()],
       zoneVms: this.#options.countZoneVms(),
       zoneDigest: this.#options.readZoneDigest(),
+      ...(departures.length === 0 ? {} : { departures }),
       ...(configurationAge === undefined
         ? {}
         : { configuration: configurationAge }),
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -14,8 +14,10 @@
 } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { EndpointDirectory } from "../state/endpoint_directory.ts";
 import { TableReplica } from "../state/table_replica.ts";
 import { ShareMeter } from "../scheduling/share_meter.ts";
+import { buildEndpoint } from "../testing/fixtures.ts";
 import { MemoryFeed } from "../testing/memory_feed.ts";
 import { StateExchange } from "./state_exchange.ts";
 import { TableDistributor } from "./table_distributor.ts";
@@ -66,8 +68,13 @@
     holdRemovals: () => {},
   });
   const suspects = new SuspectRegistry(clock, DEFAULT_SUSPECT_SETTINGS);
+  const directory = new EndpointDirectory({
+    clock,
+    logger: createSilentLogger(),
+  });
   const exchange = new StateExchange({
     sender,
+    directory,
     clock,
     logger: createSilentLogger(),
     suspects,
@@ -91,6 +98,7 @@
     sender,
     configuration,
     suspects,
+    directory,
     exchange,
     tables,
     lifetime,
@@ -185,6 +193,23 @@
     fixture.lifetime.abort();
   });
 
+  it("closes an endpoint of which a peer reports that it shuts down", async () => {
+    const fixture = createExchange();
+    fixture.directory.update(buildEndpoint("e1"));
+    fixture.directory.update(buildEndpoint("e2"));
+    const departures = [
+      { endpoint: "e1", startedAtUnixMilliseconds: 1 },
+      { endpoint: "e2", startedAtUnixMilliseconds: 0 },
+    ];
+    fixture.exchange.merge("vm-2", buildState(0, { departures }));
+    expect(fixture.directory.isAvailable("e1")).to.equal(false);
+    expect(fixture.directory.isAvailable("e2")).to.equal(true);
+    await fixture.clock.advance(START_MILLISECONDS);
+    expect(fixture.sender.sent.at(-1)?.message)
+      .to.deep.include({ departures: [departures[0]] });
+    fixture.lifetime.abort();
+  });
+
   it("merges the suspects that a peer reports", () => {
     const fixture = createExchange();
     const suspects = [{
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -305,7 +305,7 @@
       transport: this.#transport,
       metrics: this.#metrics,
       admission: this.#fleet.admission,
-      findPhase: (endpoint) => this.#state.directory.find(endpoint)?.phase,
+      directory: this.#state.directory,
       countVms: () => this.#fleet.countVms(),
     }, {
       call,
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import { EndpointPhase } from "./model/endpoint_record.ts";
@@ -53,6 +54,32 @@
   };
 }
 
+/** Sends the head and the first event of a stream that goes on. */
+function createOpenStream(
+  { endpoint, request }: ReceivedRequest,
+  response: ServerResponse,
+): void {
+  response.writeHead(200, {
+    "x-seal": `seal-of-${endpoint}`,
+    "x-request": String(request.headers["x-request"]),
+    "content-type": "text/event-stream",
+  });
+  response.write("id: 1\ndata: 1\n\n");
+}
+
+/** Counts how many of some concurrent requests reach an endpoint. */
+async function countRequests(
+  endpoint: string,
+  router: Parameters<RouterHarness["send"]>[0],
+): Promise<number> {
+  const from = harness.receivedRequests.length;
+  const calls = Array.from({ length: 6 }, () => harness.send(router));
+  await Promise.all(calls);
+  return harness.receivedRequests.slice(from).filter((received) =>
+    received.endpoint === endpoint
+  ).length;
+}
+
 function buildEvents(last: number): string {
   return Array.from(
     { length: last },
@@ -329,6 +356,49 @@
     expect(harness.receivedRequests).to.have.lengthOf(count);
   });
 
+  it("sends nothing to an endpoint after its response announced its shutdown, without a word from the store", async () => {
+    applyRoute({ repeatability: Repeatability.Stream, isPublic: true });
+    let isLeaving = false;
+    let hasOpenStream = false;
+    const stream = createStream(1, true);
+    const first = await harness.startEndpoint("e1", (received, response) => {
+      if (!isLeaving) {
+        return stream(received, response);
+      }
+      response.setHeader("x-leaving", "1");
+      if (hasOpenStream) {
+        return stream(received, response);
+      }
+      // The notice counts from the response's head: this stream stays open.
+      hasOpenStream = true;
+      return createOpenStream(received, response);
+    });
+    await harness.startEndpoint("e2", stream);
+    const router = await harness.startReadyRouter();
+    const peer = await harness.startReadyRouter({ seeds: [router.settings] });
+    await waitUntil(async () => (await harness.send(peer)).status === 200);
+    harness.feed.isDown = true;
+    isLeaving = true;
+    const running = harness.send(router);
+    await waitUntil(() => hasOpenStream);
+    for (const vm of [router, peer]) {
+      await waitUntil(async () => await countRequests("e2", vm) === 6);
+    }
+    for (const vm of [router, peer, router, peer]) {
+      expect(await countRequests("e2", vm)).to.equal(6);
+    }
+    isLeaving = false;
+    harness.feed.isDown = false;
+    const { port } = first.address() as AddressInfo;
+    const restarted = { port, startedAtUnixMilliseconds: 2 };
+    harness.feed.put("endpoints", "e1", buildEndpoint("e1", restarted));
+    for (const vm of [router, peer]) {
+      await waitUntil(async () => await countRequests("e1", vm) > 0);
+    }
+    first.closeAllConnections();
+    expect((await running).isComplete).to.equal(false);
+  });
+
   it("rejects a revoked API key, and every key while key data is stale", async () => {
     const publicRoute = buildRoute({ pathPrefix: "/open/", isPublic: true });
     harness.applyConfiguration({ routes: [buildRoute(), publicRoute] });
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -36,6 +36,8 @@
   splitter: EventSplitter;
   /** Called once, when the first byte or event of the answer arrives. */
   onAnswering: () => void;
+  /** Called when the response announces the shutdown of the endpoint. */
+  onLeaving: () => void;
 }
 
 /** One attempt. Forwards the events of a stream as they arrive. */
@@ -95,13 +97,17 @@
     this.#control = control;
     const marks = dialect.readAnswerMetadata(headers);
     this.#isNotRun = marks.isNotRun;
-    this.#isLeaving = marks.isLeaving && status !== STATUS_WRONG_INSTANCE;
-    if (marks.isNotRun) {
-      return;
-    }
     const { request } = call.identity;
     const isOtherRequest = request !== "" && marks.request !== "" &&
       marks.request !== request;
+    this.#isLeaving = marks.isLeaving && !isOtherRequest &&
+      status !== STATUS_WRONG_INSTANCE;
+    if (this.#isLeaving) {
+      this.#options.onLeaving();
+    }
+    if (marks.isNotRun) {
+      return;
+    }
     if (isOtherRequest) {
       this.#rejectAnswer(
         `The answer carries the id of another request, "${marks.request}"`,
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -1,15 +1,14 @@
 /** Forwards one request: waits for grants, makes attempts and answers once. */
 
 import type { Clock, Logger } from "@rattanvane/base";
-import type { EndpointId } from "@rattanvane/protocol";
 import type { Admission, AttemptGrant } from "../admission/admission.ts";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
-import type { EndpointPhase } from "../model/endpoint_record.ts";
 import { Repeatability } from "../model/route.ts";
 import type { ForwardingMetrics } from "../metrics/forwarding_metrics.ts";
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
+import type { EndpointDirectory } from "../state/endpoint_directory.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
@@ -31,8 +30,7 @@
   transport: EndpointTransport;
   metrics: ForwardingMetrics;
   admission: Admission;
-  /** The registered phase of an endpoint; undefined for an unknown one. */
-  findPhase: (endpoint: EndpointId) => EndpointPhase | undefined;
+  directory: EndpointDirectory;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
 }
@@ -110,6 +108,10 @@
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
     const { call, answer } = this.#options;
+    const { directory } = this.#environment;
+    const endpoint = grant.endpoint.id;
+    const startedAtUnixMilliseconds = directory.find(endpoint)
+      ?.startedAtUnixMilliseconds;
     this.#progress.sends++;
     const attempt = new AttemptRun({
       ...this.#environment,
@@ -118,6 +120,8 @@
       answer,
       splitter: this.#progress.splitter,
       onAnswering: () => grant.recordAnswerStart(),
+      onLeaving: () =>
+        directory.recordDeparture({ endpoint, startedAtUnixMilliseconds }),
     });
     const outcome = await attempt.run(signal);
     grant.recordEnd({
@@ -181,8 +185,8 @@
   #logAttempt(grant: AttemptGrant, outcome: AttemptOutcome): void {
     const { call } = this.#options;
     const { endpoint, forecast } = grant;
-    const { metrics, findPhase } = this.#environment;
-    const phase = findPhase(endpoint.id);
+    const { metrics, directory } = this.#environment;
+    const phase = directory.find(endpoint.id)?.phase;
     metrics.recordAttempt(call, outcome);
     if (outcome.isLeaving) {
       metrics.recordLeavingResponse(call, phase);
--- a/packages/forwarding/src/state/endpoint_directory.ts
+++ b/packages/forwarding/src/state/endpoint_directory.ts
@@ -1,7 +1,12 @@
 /** Directory of the registered endpoints. */
 
 import { type Clock, Emitter, type Logger } from "@rattanvane/base";
-import type { EndpointId, ServiceId, ZoneId } from "@rattanvane/protocol";
+import type {
+  EndpointDeparture,
+  EndpointId,
+  ServiceId,
+  ZoneId,
+} from "@rattanvane/protocol";
 import {
   EndpointPhase,
   type EndpointRecord,
@@ -19,6 +24,10 @@
   receivedAt: number;
 }
 
+interface RecordedDeparture extends EndpointDeparture {
+  recordedAt: number;
+}
+
 /** Kind of a directory change. */
 export enum DirectoryChangeKind {
   /** This VM did not know the endpoint. */
@@ -48,10 +57,13 @@
  */
 export class EndpointDirectory {
   readonly changes = new Emitter<DirectoryChange>();
+  /** Emits each departure once, whether it was heard of or observed. */
+  readonly departures = new Emitter<EndpointDeparture>();
   readonly #options: EndpointDirectoryOptions;
   readonly #entries = new Map<EndpointId, DirectoryEntry>();
   readonly #heldRemovals = new Set<EndpointId>();
   readonly #removedAt = new Map<EndpointId, number>();
+  readonly #departures = new Map<EndpointId, RecordedDeparture>();
   readonly #drainedZones = new Set<ZoneId>();
   #removalsHeldUntil = -Infinity;
 
@@ -63,6 +75,7 @@
   update(record: EndpointRecord): void {
     this.#heldRemovals.delete(record.id);
     this.#removedAt.delete(record.id);
+    this.#updateDeparture(record);
     const previous = this.#entries.get(record.id);
     const entry = { record, receivedAt: this.#options.clock.now() };
     this.#entries.set(record.id, entry);
@@ -129,6 +142,47 @@
     this.#heldRemovals.clear();
   }
 
+  /**
+   * Records that an endpoint's process stated that it shuts down. It gets no
+   * new requests, whatever its registration says, until another process has
+   * registered.
+   */
+  recordDeparture(
+    { endpoint, startedAtUnixMilliseconds }: EndpointDeparture,
+  ): void {
+    const entry = this.#entries.get(endpoint);
+    const known = this.#departures.get(endpoint);
+    const registeredAt = entry?.record.startedAtUnixMilliseconds;
+    const startedAt = startedAtUnixMilliseconds ?? registeredAt;
+    const isOutdated = startedAt !== undefined &&
+      (startedAt < (registeredAt ?? -Infinity) ||
+        startedAt <= (known?.startedAtUnixMilliseconds ?? -Infinity));
+    if (isOutdated || (startedAt === undefined && known !== undefined)) {
+      return;
+    }
+    const departure = { endpoint, startedAtUnixMilliseconds: startedAt };
+    const recordedAt = this.#options.clock.now();
+    this.#departures.set(endpoint, { ...departure, recordedAt });
+    this.departures.emit(departure);
+    if (entry !== undefined && this.#hasDeparted(entry.record)) {
+      this.#log("endpoint announced its shutdown", entry.record);
+      this.changes.emit({ kind: DirectoryChangeKind.Updated, entry });
+    }
+  }
+
+  /** Lists the departures of registered endpoints. */
+  listDepartures(): EndpointDeparture[] {
+    const departures: EndpointDeparture[] = [];
+    for (
+      const { endpoint, startedAtUnixMilliseconds } of this.#departures.values()
+    ) {
+      if (this.#entries.has(endpoint)) {
+        departures.push({ endpoint, startedAtUnixMilliseconds });
+      }
+    }
+    return departures;
+  }
+
   /** Starts or ends a zone's drain; returns false if nothing changed. */
   updateZoneDrain(zone: ZoneId, isDrained: boolean): boolean {
     if (this.#drainedZones.has(zone) === isDrained) {
@@ -151,14 +205,14 @@
   isAvailable(id: EndpointId): boolean {
     const record = this.find(id);
     return record !== undefined && record.phase === EndpointPhase.Up &&
-      !this.#drainedZones.has(record.zone);
+      !this.#drainedZones.has(record.zone) && !this.#hasDeparted(record);
   }
 
   /** Whether an endpoint is known not to accept new requests. */
   isClosed(id: EndpointId): boolean {
     return this.#entries.has(id)
       ? !this.isAvailable(id)
-      : this.#removedAt.has(id);
+      : this.#removedAt.has(id) || this.#departures.has(id);
   }
 
   /** Lists all endpoints of a service, available or not. */
@@ -168,8 +222,30 @@
       .filter((record) => record.service === service);
   }
 
+  #hasDeparted({ id, startedAtUnixMilliseconds }: EndpointRecord): boolean {
+    return this.#departures.get(id)?.startedAtUnixMilliseconds ===
+      startedAtUnixMilliseconds;
+  }
+
+  /** Applies a departure to the process that it names, or to the first one. */
+  #updateDeparture({ id, startedAtUnixMilliseconds }: EndpointRecord): void {
+    const departure = this.#departures.get(id);
+    if (departure === undefined) {
+      return;
+    }
+    const departedAt = departure.startedAtUnixMilliseconds ??=
+      startedAtUnixMilliseconds;
+    if (departedAt < startedAtUnixMilliseconds) {
+      this.#departures.delete(id);
+    }
+  }
+
   #removeEntry(id: EndpointId, entry: DirectoryEntry): void {
     this.#entries.delete(id);
+    if (entry.record.startedAtUnixMilliseconds === 0) {
+      // The next registration cannot be told from this one.
+      this.#departures.delete(id);
+    }
     this.#removedAt.set(id, this.#options.clock.now());
     this.#log("endpoint removed", entry.record);
     this.changes.emit({ kind: DirectoryChangeKind.Removed, entry });
@@ -177,6 +253,11 @@
 
   #forgetRemovals(): void {
     const earliest = this.#options.clock.now() - REMOVAL_MEMORY_MILLISECONDS;
+    for (const [id, { recordedAt }] of this.#departures) {
+      if (recordedAt < earliest && !this.#entries.has(id)) {
+        this.#departures.delete(id);
+      }
+    }
     for (const [id, removedAt] of this.#removedAt) {
       if (removedAt >= earliest) {
         return;
--- a/packages/forwarding/src/state/endpoint_directory_test.ts
+++ b/packages/forwarding/src/state/endpoint_directory_test.ts
@@ -87,4 +87,38 @@
       DirectoryChangeKind.Started,
     ]);
   });
+
+  it("closes an endpoint that announced its shutdown until another process registers", () => {
+    const { directory, kinds } = createDirectory();
+    directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds: 5 }));
+    const departure = { endpoint: "e1", startedAtUnixMilliseconds: 5 };
+    directory.recordDeparture(departure);
+    directory.recordDeparture(departure);
+    expect(kinds).to.have.lengthOf(2);
+    expect(directory.isClosed("e1")).to.equal(true);
+    for (const startedAtUnixMilliseconds of [4, 5]) {
+      directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds }));
+    }
+    expect(directory.isAvailable("e1")).to.equal(false);
+    directory.remove("e1");
+    directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds: 5 }));
+    expect(directory.isAvailable("e1")).to.equal(false);
+    directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds: 6 }));
+    expect(directory.isAvailable("e1")).to.equal(true);
+    directory.recordDeparture(departure);
+    expect(directory.isAvailable("e1")).to.equal(true);
+  });
+
+  it("applies a departure to an endpoint that registers later", async () => {
+    const { clock, directory } = createDirectory();
+    directory.recordDeparture({ endpoint: "e1" });
+    expect(directory.isClosed("e1")).to.equal(true);
+    directory.update(buildEndpoint("e1"));
+    expect(directory.isAvailable("e1")).to.equal(false);
+    directory.recordDeparture({ endpoint: "e2" });
+    await clock.advance(61_000);
+    directory.removeExpired();
+    expect(directory.isClosed("e1")).to.equal(true);
+    expect(directory.isClosed("e2")).to.equal(false);
+  });
 });
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -127,6 +127,8 @@
   "capacity",
   "registrations",
   "zoneDigest",
+  "departures",
+  "startedAtUnixMilliseconds",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -34,6 +34,18 @@
   ageMilliseconds: number;
 }
 
+/** An endpoint's statement that its process is about to shut down. */
+export interface EndpointDeparture {
+  endpoint: EndpointId;
+  /** Start time of the process; unset if the sender does not know it. */
+  startedAtUnixMilliseconds?: number | undefined;
+}
+
+/** Tells a member's scheduler of an endpoint that is about to shut down. */
+export interface EndpointDepartureMessage extends EndpointDeparture {
+  kind: MessageKind.EndpointDeparture;
+}
+
 /** Shares a scheduler's load, demand and crash observations with another. */
 export interface ForwardingStateMessage {
   kind: MessageKind.ForwardingState;
@@ -43,6 +55,8 @@
   endpoints: EndpointUse[];
   organisations: OrganisationUse[];
   suspects: SuspectFingerprint[];
+  /** Registered endpoints that are about to shut down; unset for none. */
+  departures?: EndpointDeparture[];
   /** Unset until the table has been read. */
   configuration?: TableAge;
   /** The same for the endpoints' registrations. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -62,6 +62,11 @@
 const isTableAge = createObject(TABLE_AGE_FIELDS);
 const isNamedTableAge = createObject({ ...TABLE_AGE_FIELDS, table: isText });
 
+const DEPARTURE_FIELDS = {
+  endpoint: isText,
+  startedAtUnixMilliseconds: createOptional(isNumber),
+};
+
 const isPromptPart: Check = (value) =>
   Array.isArray(value) && value.length === 2 && isText(value[0]) &&
   isAmount(value[1]);
@@ -134,12 +139,14 @@
       crashedAttempts: createList(isText),
       ageMilliseconds: isAmount,
     })),
+    departures: createOptional(createList(createObject(DEPARTURE_FIELDS))),
     configuration: createOptional(isTableAge),
     registrations: createOptional(isTableAge),
     schedulers: createOptional(createList(isContact)),
     zoneVms: createOptional(isAmount),
     zoneDigest: createOptional(isText),
   }),
+  [MessageKind.EndpointDeparture]: createObject(DEPARTURE_FIELDS),
   [MessageKind.RequestTable]: createObject({ table: isText }),
   [MessageKind.TableCopy]: createObject({
     table: isText,
--- a/packages/protocol/src/message_kind.ts
+++ b/packages/protocol/src/message_kind.ts
@@ -43,4 +43,5 @@
   MemberSync = "memberSync",
   MemberSyncReply = "memberSyncReply",
   ZoneSchedulers = "zoneSchedulers",
+  EndpointDeparture = "endpointDeparture",
 }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -52,6 +52,7 @@
 /** Messages between VMs that serve forwarding routes. */
 export type ForwardingMessage =
   | forwarding.ForwardingStateMessage
+  | forwarding.EndpointDepartureMessage
   | forwarding.RequestTableMessage
   | forwarding.TableCopyMessage
   | admission.TableChangesMessage
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -57,6 +57,7 @@
         ownership.handleHandover(message.pool);
         return host.handle(from, message);
       case MessageKind.ForwardingState:
+      case MessageKind.EndpointDeparture:
       case MessageKind.RequestTable:
       case MessageKind.TableCopy:
       case MessageKind.TableChanges:
