Hold removals back no longer than the VM that read them

At 26.512 s an endpoint leaves without having said that it drains: its row is removed. maiduguri-depot-1 reads that and, having lost the store until 24.8 s, holds the removal back until 26.8 s, in case the row had only lapsed. It passes the change on, marked as possibly due to an outage. maiduguri-depot-2, in touch all along, takes the mark and starts the whole time of 2.1 s again: it logs "endpoint removed" 2.17 s after the others, and sends requests there until then. Cause: the time for which removals are held back was started again at every hop. Class: a relative time that is passed on without what is left of it. Change: the message says how long its sender still holds back; a VM that follows the store itself with success knows that there was no outage and holds nothing back; a hold of a VM's own is never shortened. Older peers that send no time are taken at the whole time, as before. Tests: 3 of 3 moments after the return of the other VM failed before ("expected false to equal true"), and the test of members fails when the time is not carried; all pass now.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -164,8 +164,8 @@
       clock,
       logger: logger.forPart("peers"),
       listReceivers: () => this.#listTableReceivers(),
-      isAfterOutage: () => state.directory.isHoldingRemovals,
-      holdRemovals: () => state.directory.scheduleRemovals(),
+      computeHold: () => state.directory.holdMilliseconds,
+      extendHold: (milliseconds) => state.directory.extendHold(milliseconds),
     });
     this.#exchange = this.#createExchange();
     this.#sync = new MemberSync({
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -64,8 +64,8 @@
     clock,
     logger: createSilentLogger(),
     listReceivers: () => [],
-    isAfterOutage: () => false,
-    holdRemovals: () => {},
+    computeHold: () => 0,
+    extendHold: () => {},
   });
   const suspects = new SuspectRegistry(clock, DEFAULT_SUSPECT_SETTINGS);
   const directory = new EndpointDirectory({
--- a/packages/forwarding/src/fleet/table_distributor.ts
+++ b/packages/forwarding/src/fleet/table_distributor.ts
@@ -35,10 +35,16 @@
   logger: Logger;
   /** Lists the VMs to which changes are sent. */
   listReceivers: () => Iterable<VmId>;
-  /** Whether removals may be due to an outage of the store. */
-  isAfterOutage: () => boolean;
-  /** Called before removals are applied that may be due to an outage. */
-  holdRemovals: () => void;
+  /**
+   * For how long this VM holds back removals that may be due to an outage of
+   * the store; infinite during one.
+   */
+  computeHold: () => number;
+  /**
+   * Called before removals are applied that another VM holds back for this
+   * time; infinite if it does not know for how long.
+   */
+  extendHold: (milliseconds: number) => void;
 }
 
 /** Sends changes to other VMs at once, and whole copies on request. */
@@ -125,7 +131,8 @@
   }
 
   #sendUpdate({ table }: TableReplica, update: TableUpdate): void {
-    const { sender, listReceivers, logger, isAfterOutage } = this.#options;
+    const { sender, listReceivers, logger, computeHold } = this.#options;
+    const hold = computeHold();
     const rows = update.rows.map(convertRow);
     if (sumBytes(rows) > MAX_COPY_BYTES) {
       logger.warn("changes of a table are too large to send to other VMs", {
@@ -142,7 +149,8 @@
       version: update.version,
       rows,
       removedKeys: [...update.removedKeys],
-      isAfterOutage: isAfterOutage(),
+      isAfterOutage: hold > 0,
+      ...(Number.isFinite(hold) ? { holdMilliseconds: hold } : {}),
     };
     for (const receiver of listReceivers()) {
       sender.send(receiver, message);
@@ -190,8 +198,12 @@
     if (replica === undefined || changes.version <= replica.version) {
       return;
     }
-    if (changes.isAfterOutage && changes.removedKeys.length > 0) {
-      this.#options.holdRemovals();
+    // A VM that follows the store itself knows whether there was an outage.
+    if (
+      changes.isAfterOutage && changes.removedKeys.length > 0 &&
+      replica.reliesOnCopies
+    ) {
+      this.#options.extendHold(changes.holdMilliseconds ?? Infinity);
     }
     if (!replica.mergeUpdate(changes)) {
       this.requestTable(from, replica);
--- a/packages/forwarding/src/fleet/table_following_test.ts
+++ b/packages/forwarding/src/fleet/table_following_test.ts
@@ -10,6 +10,8 @@
 const ZONES = 5;
 const MAX_KEY_AGE_MILLISECONDS = 4_600;
 const TABLES = 2;
+/** An endpoint that is removed gets no new requests after this time. */
+const DRAIN_MILLISECONDS = 2_000;
 /** A long poll lasts 1.25 s, shortened by 20 % on average. */
 const MEAN_POLL_SECONDS = 1;
 
@@ -152,4 +154,40 @@
     }
     fleet.stop();
   });
+
+  for (const sinceReturnMilliseconds of [100, 1_000, 1_900]) {
+    it(`a VM that hears of a removal from one that was cut off ${sinceReturnMilliseconds} ms before drops the endpoint in time (seed 7)`, async () => {
+      const fleet = new SimulatedFleet({ seed: 7, zones: 3, endpoints: 6 });
+      await fleet.startAll(6);
+      await fleet.clock.advance(4_000);
+      const [returning, hearing] = listZone(fleet, "zone-0") as [
+        SimulatedVm,
+        SimulatedVm,
+      ];
+      hearing.feed.changesDelayMilliseconds = 20;
+      returning.feed.isRejected = true;
+      await fleet.clock.advance(8_000);
+      returning.feed.isRejected = false;
+      await fleet.clock.advance(sinceReturnMilliseconds);
+      fleet.store.remove("endpoints", "endpoint-1");
+      await fleet.clock.advance(DRAIN_MILLISECONDS);
+      expect(hearing.state.directory.isClosed("endpoint-1")).to.equal(true);
+      fleet.stop();
+    });
+  }
+
+  it("members drop a removed endpoint in time when their follower was cut off before (seed 9)", async () => {
+    const fleet = await startFleet(9);
+    const follower = findFollower(fleet, "zone-0");
+    follower.feed.isRejected = true;
+    await fleet.clock.advance(1_500);
+    follower.feed.isRejected = false;
+    await fleet.clock.advance(1_900);
+    fleet.store.remove("endpoints", "endpoint-2");
+    await fleet.clock.advance(DRAIN_MILLISECONDS);
+    for (const { state } of listZone(fleet, "zone-0")) {
+      expect(state.directory.isClosed("endpoint-2")).to.equal(true);
+    }
+    fleet.stop();
+  });
 });
--- a/packages/forwarding/src/state/endpoint_directory.ts
+++ b/packages/forwarding/src/state/endpoint_directory.ts
@@ -117,9 +117,24 @@
       REREGISTRATION_MILLISECONDS;
   }
 
+  /**
+   * Holds removals back for as long as another VM does that read them; never
+   * shortens a hold of this VM's own.
+   */
+  extendHold(milliseconds: number): void {
+    const until = this.#options.clock.now() +
+      Math.min(milliseconds, REREGISTRATION_MILLISECONDS);
+    this.#removalsHeldUntil = Math.max(this.#removalsHeldUntil, until);
+  }
+
+  /** For how long removals are still held back; may be infinite. */
+  get holdMilliseconds(): number {
+    return Math.max(0, this.#removalsHeldUntil - this.#options.clock.now());
+  }
+
   /** Whether removals are held back. */
   get isHoldingRemovals(): boolean {
-    return this.#options.clock.now() < this.#removalsHeldUntil;
+    return this.holdMilliseconds > 0;
   }
 
   /** Whether any removal is held back. */
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -1,6 +1,7 @@
 /** A fleet of VMs in one process, with a simulated clock and network. */
 
 import {
+  type Clock,
   createLifetime,
   createSilentLogger,
   Emitter,
@@ -71,12 +72,16 @@
   calls = 0;
   /** While set, the store rejects this VM's calls. */
   isRejected = false;
+  /** By how much changes reach this VM later than the others. */
+  changesDelayMilliseconds = 0;
   readonly #store: MemoryFeed;
   readonly #rejecting: MemoryFeed;
+  readonly #clock: Clock;
 
-  constructor(store: MemoryFeed) {
+  constructor(store: MemoryFeed, clock: Clock) {
     super();
     this.#store = store;
+    this.#clock = clock;
     this.#rejecting = new MemoryFeed();
     this.#rejecting.isDown = true;
   }
@@ -87,11 +92,15 @@
     return this.#pickFeed().readTable(table);
   }
 
-  override waitForChanges(
+  override async waitForChanges(
     position: { table: string; version: number; waitMilliseconds: number },
     signal: AbortSignal,
   ): Promise<Result<TableChanges, PlatformError>> {
-    return this.#pickFeed().waitForChanges(position, signal);
+    const changes = await this.#pickFeed().waitForChanges(position, signal);
+    if (this.changesDelayMilliseconds > 0) {
+      await this.#clock.sleep(this.changesDelayMilliseconds, signal);
+    }
+    return changes;
   }
 
   override writeRow(
@@ -194,7 +203,7 @@
     const lifetime = createLifetime();
     const { signal } = lifetime;
     const clock = new FreezableClock(this.clock);
-    const feed = new CountingFeed(this.store);
+    const feed = new CountingFeed(this.store, this.clock);
     const logger = createSilentLogger();
     const random = new RandomSource(this.#random.nextInteger(1, 1 << 30));
     const settings = this.#buildSettings(contact, seeds);
--- a/packages/protocol/src/admission_messages.ts
+++ b/packages/protocol/src/admission_messages.ts
@@ -156,6 +156,8 @@
   removedKeys: string[];
   /** Whether removals may be due to an outage of the store. */
   isAfterOutage: boolean;
+  /** For how long the sender still holds removals back; unset if unknown. */
+  holdMilliseconds?: number;
 }
 
 /** Names the schedulers of the sender's zone, which is not one of them. */
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -129,6 +129,7 @@
   "zoneDigest",
   "departures",
   "startedAtUnixMilliseconds",
+  "holdMilliseconds",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -161,6 +161,7 @@
     rows: createList(isRow),
     removedKeys: createList(isText),
     isAfterOutage: isFlag,
+    holdMilliseconds: createOptional(isAmount),
   }),
   [MessageKind.ZoneSchedulers]: createObject({
     schedulers: createList(isContact),
