End a store outage on VMs that do not poll when others confirm the tables

Callers would see: requests at endpoints that were removed minutes ago, after any outage of the store, in fleets of more than ten VMs (DRAIN). Cause: a VM holds removals back from its first failed poll until its next successful one. In large fleets most VMs do not poll while another VM of the zone confirms the tables to them. A VM that had polled once during an outage and was confirmed by others before its next poll never polled again, so it held every removal back for good. Class: a state that only one of two sources of news can end. Change: a confirmation of other VMs that is recent enough ends the outage.

--- a/packages/forwarding/src/fleet/table_distributor.ts
+++ b/packages/forwarding/src/fleet/table_distributor.ts
@@ -98,7 +98,7 @@
     }
     if (isSame || reported.version <= replica.version) {
       if (sentAt !== undefined && replica.version >= 0) {
-        replica.freshness.confirm(sentAt, reported.ageMilliseconds);
+        replica.confirmAge(sentAt, reported.ageMilliseconds);
       }
       return;
     }
--- a/packages/forwarding/src/fleet/table_following_test.ts
+++ b/packages/forwarding/src/fleet/table_following_test.ts
@@ -12,6 +12,8 @@
 const TABLES = 2;
 /** An endpoint that is removed gets no new requests after this time. */
 const DRAIN_MILLISECONDS = 2_000;
+/** From this time after an outage, VMs follow the store as usual. */
+const CONTACT_MILLISECONDS = 3_000;
 /** A long poll lasts 1.25 s, shortened by 20 % on average. */
 const MEAN_POLL_SECONDS = 1;
 
@@ -190,4 +192,21 @@
     }
     fleet.stop();
   });
+
+  for (const outageMilliseconds of [1_000, 3_000, 6_000, 9_000]) {
+    it(`every VM drops a removed endpoint in time after an outage of ${outageMilliseconds} ms (seed 8)`, async () => {
+      const fleet = await startFleet(8);
+      fleet.store.isDown = true;
+      await fleet.clock.advance(outageMilliseconds);
+      fleet.store.isDown = false;
+      await fleet.clock.advance(CONTACT_MILLISECONDS);
+      fleet.store.remove("endpoints", "endpoint-3");
+      await fleet.clock.advance(DRAIN_MILLISECONDS);
+      const late = [...fleet.vms.values()].filter(({ state }) =>
+        !state.directory.isClosed("endpoint-3")
+      );
+      expect(late).to.have.lengthOf(0);
+      fleet.stop();
+    });
+  }
 });
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -12,7 +12,7 @@
   PlatformErrorKind,
   type TableFeed,
 } from "@rattanvane/platform";
-import { Freshness } from "./freshness.ts";
+import { type ClockReading, Freshness } from "./freshness.ts";
 import { RowDigest } from "./row_digest.ts";
 
 const INITIAL_BACKOFF_MILLISECONDS = 40;
@@ -150,6 +150,21 @@
     return this.digest === update.digest;
   }
 
+  /**
+   * Records that another VM confirmed these rows with the store, as long ago as
+   * stated when this VM asked it at `sentAt`. A VM that does not poll learns
+   * only from this that the store is available again.
+   */
+  confirmAge(sentAt: ClockReading, ageMilliseconds: number): void {
+    const { isPolling, maxUnpolledAgeMilliseconds } = this.#options;
+    this.freshness.confirm(sentAt, ageMilliseconds);
+    const isFollowed = !isPolling() &&
+      this.freshness.computeAge() <= maxUnpolledAgeMilliseconds;
+    if (isFollowed) {
+      this.#recordSuccess();
+    }
+  }
+
   /** Records that these rows are complete up to a newer version. */
   confirmVersion(version: number): void {
     if (this.#version >= 0) {
