--- a/packages/forwarding/src/admission/local_admission.ts
+++ b/packages/forwarding/src/admission/local_admission.ts
@@ -110,7 +110,8 @@
   }
 
   override recordAnswerStart(): void {
-    const { runtime, grant } = this.#options;
+    const { crashes, runtime, grant } = this.#options;
+    crashes.recordResponseStart(this.#tracked);
     runtime.scheduler.markResponding(grant);
   }
 
--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -15,6 +15,11 @@
   fingerprint: string;
   /** Unique within the fleet. */
   name: string;
+  /** The prompt parts that other requests may share with this one. */
+  sharedParts: readonly string[];
+  sentAt: number;
+  /** When the response began; undefined while it has not. */
+  respondingAt: number | undefined;
   /** When the connection broke; undefined while it has not. */
   lostAt: number | undefined;
 }
@@ -49,10 +54,18 @@
       endpoint,
       fingerprint: call.fingerprint,
       name: `${this.#options.vm}.${this.#sequence}`,
+      sharedParts: listSharedParts(call),
+      sentAt: this.#options.clock.now(),
+      respondingAt: undefined,
       lostAt: undefined,
     };
   }
 
+  /** Records that the response to an attempt has begun. */
+  recordResponseStart(attempt: TrackedAttempt): void {
+    attempt.respondingAt = this.#options.clock.now();
+  }
+
   /** Records how an attempt ended. */
   recordOutcome(attempt: TrackedAttempt, outcome: OutcomeKind): void {
     const { clock, suspects } = this.#options;
@@ -92,9 +105,16 @@
             endpoint,
             fingerprint: attempt.fingerprint,
             attempt: attempt.name,
+            sharedParts: attempt.sharedParts.join(" "),
+            wasResponding: attempt.respondingAt !== undefined,
           },
         );
       }
     }
   }
 }
+
+/** The last part of a prompt belongs to its request alone. */
+function listSharedParts({ identity }: SchedulableCall): string[] {
+  return identity.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+}
