Quarantine prompt parts that crash the engines that respond to them

Cause: the quarantine knows a request by target, organisation and body. Requests with a deadly part are no two alike, so each was new, with at most its own attempts as evidence. Class: blame is kept for a whole where only a part of it recurs. Change: a part is blamed for a crash when a request with it had no response yet, and cleared by a later response to it. What explains most crashes is quarantined after three that followed each other, and these crashes count against no other part. Schedulers exchange crashes and clearing responses, also to VMs that start later, and a crash that a peer has confirmed is confirmed here.

--- a/packages/forwarding/src/admission/local_admission.ts
+++ b/packages/forwarding/src/admission/local_admission.ts
@@ -1,7 +1,6 @@
 /** Admits requests with the schedulers of this VM. */
 
 import type { Clock } from "@rattanvane/base";
-import type { SuspectRegistry } from "@rattanvane/limits";
 import type { ServiceId } from "@rattanvane/protocol";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import { computeCost, type SchedulableCall } from "../model/call.ts";
@@ -27,7 +26,6 @@
 export interface LocalAdmissionOptions {
   clock: Clock;
   shares: ShareMeter;
-  suspects: SuspectRegistry;
   crashes: CrashTracker;
   findRuntime: (service: ServiceId) => ServiceRuntime | undefined;
 }
@@ -45,12 +43,9 @@
     { call, avoid, isRepeated }: AdmissionRequest,
     signal: AbortSignal,
   ): Promise<AdmissionResult> {
-    const { shares, suspects, findRuntime } = this.#options;
-    if (suspects.isQuarantined(call.fingerprint)) {
-      return buildRefusal(
-        RefusalKind.Quarantined,
-        QUARANTINE_RETRY_AFTER_MILLISECONDS,
-      );
+    const { shares, crashes, findRuntime } = this.#options;
+    if (crashes.isQuarantined(call)) {
+      return buildQuarantineRefusal(0);
     }
     const runtime = findRuntime(call.service);
     if (runtime === undefined) {
@@ -63,9 +58,15 @@
       shares.recordAsked(call.organisation, computeCost(call));
     }
     const decision = await runtime.scheduler.submit(call, avoid, signal);
-    return decision.refusal === undefined
-      ? { grant: this.#createGrant(call, runtime, decision.grant) }
-      : { refusal: decision.refusal };
+    if (decision.refusal !== undefined) {
+      return { refusal: decision.refusal };
+    }
+    const { grant } = decision;
+    if (crashes.isQuarantined(call)) {
+      runtime.scheduler.release(grant);
+      return buildQuarantineRefusal(grant.waitedMilliseconds);
+    }
+    return { grant: this.#createGrant(call, runtime, grant) };
   }
 
   #createGrant(
@@ -104,7 +105,7 @@
     const { call, grant, crashes } = options;
     const { endpoint } = grant;
     this.#options = options;
-    this.#tracked = crashes.registerAttempt(endpoint.record.id, call);
+    this.#tracked = crashes.registerAttempt(endpoint.record, call);
     this.endpoint = endpoint.record;
     this.forecast = buildForecast(grant);
   }
@@ -184,6 +185,17 @@
   };
 }
 
+/** Builds the refusal of a request that was queued for this time. */
+function buildQuarantineRefusal(waitedMilliseconds: number): AdmissionResult {
+  return {
+    refusal: {
+      kind: RefusalKind.Quarantined,
+      retryAfterMilliseconds: QUARANTINE_RETRY_AFTER_MILLISECONDS,
+      waitedMilliseconds,
+    },
+  };
+}
+
 function buildRefusal(
   kind: RefusalKind,
   retryAfterMilliseconds: number,
--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -31,6 +31,7 @@
 import type { ForwardingSettings } from "../forwarding_settings.ts";
 import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
 import type { ShareMeter } from "../scheduling/share_meter.ts";
+import type { CrashTracker } from "../state/crash_tracker.ts";
 import type { FleetState } from "../state/fleet_state.ts";
 import { hashSchedulers, MemberSync } from "./member_sync.ts";
 import { MembershipGossip } from "./membership_gossip.ts";
@@ -72,6 +73,7 @@
   random: RandomSource;
   logger: Logger;
   suspects: SuspectRegistry;
+  crashes: CrashTracker;
   shares: ShareMeter;
   state: FleetState;
   /** Decides on requests that this VM schedules. */
--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -15,6 +15,7 @@
   type VmContact,
   type VmId,
 } from "@rattanvane/protocol";
+import type { CrashTracker } from "../state/crash_tracker.ts";
 import type { EndpointDirectory } from "../state/endpoint_directory.ts";
 import type { ClockReading } from "../state/freshness.ts";
 import type { TableReplica } from "../state/table_replica.ts";
@@ -55,6 +56,7 @@
   clock: Clock;
   logger: Logger;
   suspects: SuspectRegistry;
+  crashes: CrashTracker;
   shares: ShareMeter;
   configuration: TableReplica;
   endpoints: TableReplica;
@@ -159,6 +161,10 @@
     if (message.suspects.length > 0) {
       suspects.merge(message.suspects);
     }
+    this.#options.crashes.mergeReports(
+      message.crashes ?? [],
+      message.soundParts ?? [],
+    );
     for (const departure of message.departures ?? []) {
       this.#options.directory.recordDeparture(departure);
     }
@@ -206,6 +212,7 @@
         }
       }
     }
+    const { crashes, soundParts } = this.#options.crashes.listReports();
     const departures = this.#options.directory.listDepartures();
     const configurationAge = buildAge(configuration);
     const registrations = buildAge(this.#options.endpoints);
@@ -219,6 +226,8 @@
       schedulers: [...this.#options.listZoneSchedulers()],
       zoneVms: this.#options.countZoneVms(),
       zoneDigest: this.#options.readZoneDigest(),
+      ...(crashes.length === 0 ? {} : { crashes }),
+      ...(soundParts.length === 0 ? {} : { soundParts }),
       ...(departures.length === 0 ? {} : { departures }),
       ...(configurationAge === undefined
         ? {}
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -14,6 +14,7 @@
 } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { CrashTracker } from "../state/crash_tracker.ts";
 import { EndpointDirectory } from "../state/endpoint_directory.ts";
 import { TableReplica } from "../state/table_replica.ts";
 import { ShareMeter } from "../scheduling/share_meter.ts";
@@ -78,6 +79,12 @@
     clock,
     logger: createSilentLogger(),
     suspects,
+    crashes: new CrashTracker({
+      clock,
+      logger: createSilentLogger(),
+      suspects,
+      vm: "vm-1",
+    }),
     shares: new ShareMeter({ clock, periodMilliseconds: 4_000 }),
     configuration,
     endpoints,
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -140,12 +140,12 @@
       random: this.#random,
       logger,
       suspects: this.#suspects,
+      crashes: this.#crashes,
       shares: this.#shares,
       state: this.#state,
       localAdmission: new LocalAdmission({
         clock,
         shares: this.#shares,
-        suspects: this.#suspects,
         crashes: this.#crashes,
         findRuntime: (service) => this.#services.find(service),
       }),
@@ -278,7 +278,7 @@
       findLimits: () => this.#state.routes?.configuration.limits,
       isLeaving: () => this.#phase === RouterPhase.ShuttingDown,
       findRejection: (call) =>
-        this.#suspects.isQuarantined(call.fingerprint)
+        this.#crashes.isQuarantined(call)
           ? RejectionKind.Quarantined
           : undefined,
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
@@ -336,6 +336,7 @@
       computeConfigurationAgeSeconds: () =>
         this.#state.configuration.freshness.computeAge() /
         MILLISECONDS_PER_SECOND,
+      countQuarantinedParts: () => this.#crashes.quarantinedParts,
       countPeers: () => this.#fleet.countLiveSchedulers(),
       countMembers: () => this.#fleet.countMembers(),
       countSchedulerRoles: () => this.#fleet.isScheduler ? 1 : 0,
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -42,6 +42,7 @@
   countRunning: () => number;
   readConfigurationVersion: () => number;
   computeConfigurationAgeSeconds: () => number;
+  countQuarantinedParts: () => number;
   countPeers: () => number;
   countMembers: () => number;
   countSchedulerRoles: () => number;
@@ -165,6 +166,11 @@
       "How long ago the configuration was known to be current.",
       { read: gauges.computeConfigurationAgeSeconds },
     );
+    this.#addGauge(
+      "quarantined_parts",
+      "Prompt parts whose requests are refused because engines crashed.",
+      { read: gauges.countQuarantinedParts },
+    );
     this.#addGauge(
       "live_peers",
       "Other schedulers that sent their state recently.",
--- a/packages/forwarding/src/metrics/operations_page_test.ts
+++ b/packages/forwarding/src/metrics/operations_page_test.ts
@@ -20,6 +20,7 @@
       countRunning: () => 0,
       readConfigurationVersion: () => 0,
       computeConfigurationAgeSeconds: () => 0,
+      countQuarantinedParts: () => 0,
       countPeers: () => 0,
       countMembers: () => 0,
       countSchedulerRoles: () => 0,
--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -2,16 +2,30 @@
 
 import type { Clock, Logger } from "@rattanvane/base";
 import type { SuspectRegistry } from "@rattanvane/limits";
-import type { EndpointId } from "@rattanvane/protocol";
+import type { CrashReport, EndpointId, SoundPart } from "@rattanvane/protocol";
 import type { SchedulableCall } from "../model/call.ts";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
+import type { EndpointRecord } from "../model/endpoint_record.ts";
+import {
+  PromptPartSuspects,
+  type SuspectPart,
+} from "./prompt_part_suspects.ts";
 
 /** A crash must be confirmed within this time after the connection broke. */
 const CRASH_CONFIRMATION_MILLISECONDS = 8_000;
+/**
+ * An endpoint may crash after the first byte of a response; one that goes on for
+ * this time shows that the request does not crash it.
+ */
+const SOUND_RESPONSE_MILLISECONDS = 300;
+/** Longer ids of prompt parts are not tracked. */
+const MAX_PART_LENGTH = 128;
 
 /** One attempt at an endpoint. */
 export interface TrackedAttempt {
   endpoint: EndpointId;
+  /** Start time of the endpoint's process. */
+  startedAtUnixMilliseconds: number;
   fingerprint: string;
   /** Unique within the fleet. */
   name: string;
@@ -40,18 +54,38 @@
  */
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
+  readonly #parts: PromptPartSuspects;
+  /** Attempts whose response has just begun, oldest first. */
+  readonly #respondingAttempts: TrackedAttempt[] = [];
   readonly #lostAttempts = new Map<EndpointId, TrackedAttempt[]>();
   #sequence = 0;
 
   constructor(options: CrashTrackerOptions) {
     this.#options = options;
+    this.#parts = new PromptPartSuspects(options);
+  }
+
+  /** The number of prompt parts whose requests are refused. */
+  get quarantinedParts(): number {
+    return this.#parts.size;
+  }
+
+  /** Whether a request is refused because of earlier crashes. */
+  isQuarantined(call: SchedulableCall): boolean {
+    this.#settleResponses();
+    return this.#options.suspects.isQuarantined(call.fingerprint) ||
+      this.#parts.hasQuarantined(listSharedParts(call));
   }
 
   /** Registers an attempt that is about to be sent. */
-  registerAttempt(endpoint: EndpointId, call: SchedulableCall): TrackedAttempt {
+  registerAttempt(
+    { id, startedAtUnixMilliseconds }: EndpointRecord,
+    call: SchedulableCall,
+  ): TrackedAttempt {
     this.#sequence++;
     return {
-      endpoint,
+      endpoint: id,
+      startedAtUnixMilliseconds,
       fingerprint: call.fingerprint,
       name: `${this.#options.vm}.${this.#sequence}`,
       sharedParts: listSharedParts(call),
@@ -64,6 +98,10 @@
   /** Records that the response to an attempt has begun. */
   recordResponseStart(attempt: TrackedAttempt): void {
     attempt.respondingAt = this.#options.clock.now();
+    if (attempt.sharedParts.length > 0) {
+      this.#respondingAttempts.push(attempt);
+    }
+    this.#settleResponses();
   }
 
   /** Records how an attempt ended. */
@@ -71,6 +109,8 @@
     const { clock, suspects } = this.#options;
     if (outcome === OutcomeKind.Answered) {
       suspects.recordCompletion(attempt.fingerprint);
+      const respondingAt = attempt.respondingAt ?? clock.now();
+      this.#parts.recordResponse(attempt.sharedParts, respondingAt);
       return;
     }
     if (outcome === OutcomeKind.NotSent) {
@@ -94,27 +134,99 @@
   confirmCrash(endpoint: EndpointId): void {
     const lostAttempts = this.#lostAttempts.get(endpoint) ?? [];
     this.#lostAttempts.delete(endpoint);
+    this.#settleResponses();
     const earliest = this.#options.clock.now() -
       CRASH_CONFIRMATION_MILLISECONDS;
     for (const attempt of lostAttempts) {
       if ((attempt.lostAt ?? -Infinity) >= earliest) {
-        this.#options.suspects.recordCrash(attempt.fingerprint, attempt.name);
-        this.#options.logger.warn(
-          "request was running when its endpoint crashed",
-          {
-            endpoint,
-            fingerprint: attempt.fingerprint,
-            attempt: attempt.name,
-            sharedParts: attempt.sharedParts.join(" "),
-            wasResponding: attempt.respondingAt !== undefined,
-          },
+        this.#recordCrash(attempt);
+      }
+    }
+  }
+
+  /** Lists the crashes and sound parts that other VMs need to know of. */
+  listReports(): { crashes: CrashReport[]; soundParts: SoundPart[] } {
+    this.#settleResponses();
+    return {
+      crashes: this.#parts.listReports(),
+      soundParts: this.#parts.listSoundParts(),
+    };
+  }
+
+  /** Merges the observations of another VM; its crashes are confirmed. */
+  mergeReports(
+    crashes: readonly CrashReport[],
+    soundParts: readonly SoundPart[],
+  ): void {
+    this.#parts.merge(crashes, soundParts);
+    for (const { endpoint } of crashes) {
+      if (this.#lostAttempts.has(endpoint)) {
+        this.confirmCrash(endpoint);
+      }
+    }
+  }
+
+  #recordCrash(attempt: TrackedAttempt): void {
+    const { suspects, logger } = this.#options;
+    const { endpoint, startedAtUnixMilliseconds, fingerprint } = attempt;
+    suspects.recordCrash(fingerprint, attempt.name);
+    logger.warn("request was running when its endpoint crashed", {
+      endpoint,
+      fingerprint,
+      attempt: attempt.name,
+      sharedParts: attempt.sharedParts.join(" "),
+      wasResponding: attempt.respondingAt !== undefined,
+    });
+    const isSuspect = attempt.sharedParts.length > 0 &&
+      !isSound(attempt, attempt.lostAt ?? Infinity);
+    if (isSuspect) {
+      this.#parts.recordCrash({
+        endpoint,
+        startedAtUnixMilliseconds,
+        at: attempt.lostAt ?? 0,
+        parts: listSuspectParts(attempt),
+      });
+    }
+  }
+
+  /** Records the responses that have gone on for long enough. */
+  #settleResponses(): void {
+    const now = this.#options.clock.now();
+    for (;;) {
+      const [attempt] = this.#respondingAttempts;
+      const isSettled = attempt !== undefined &&
+        (attempt.lostAt !== undefined || isSound(attempt, now));
+      if (!isSettled) {
+        return;
+      }
+      this.#respondingAttempts.shift();
+      if (isSound(attempt, attempt.lostAt ?? now)) {
+        this.#parts.recordResponse(
+          attempt.sharedParts,
+          attempt.respondingAt ?? now,
         );
       }
     }
   }
 }
 
+/** Whether an attempt's response had gone on for long enough at a time. */
+function isSound({ respondingAt }: TrackedAttempt, at: number): boolean {
+  return respondingAt !== undefined &&
+    at - respondingAt >= SOUND_RESPONSE_MILLISECONDS;
+}
+
+function listSuspectParts(attempt: TrackedAttempt): SuspectPart[] {
+  return attempt.sharedParts.map((part, depth) => ({
+    part,
+    depth,
+    sentAt: attempt.sentAt,
+  }));
+}
+
 /** The last part of a prompt belongs to its request alone. */
-function listSharedParts({ identity }: SchedulableCall): string[] {
-  return identity.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+function listSharedParts({ identity, service }: SchedulableCall): string[] {
+  const parts = identity.prompt?.parts.slice(0, -1) ?? [];
+  return parts.filter(({ id }) => id.length <= MAX_PART_LENGTH)
+    .map(({ id }) => `${service} ${id}`);
 }
--- a/packages/forwarding/src/state/crash_tracker_test.ts
+++ b/packages/forwarding/src/state/crash_tracker_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
-import { buildCall } from "../testing/fixtures.ts";
+import { buildCall, buildEndpoint } from "../testing/fixtures.ts";
 import { CrashTracker } from "./crash_tracker.ts";
 
 function createWatch() {
@@ -23,18 +23,21 @@
 describe("CrashWatch", () => {
   it("does not count a lost response alone as a crash", () => {
     const { suspects, watch } = createWatch();
-    watch.recordOutcome(watch.registerAttempt("e1", CALL), OutcomeKind.Broken);
+    watch.recordOutcome(
+      watch.registerAttempt(buildEndpoint("e1"), CALL),
+      OutcomeKind.Broken,
+    );
     expect(suspects.isSuspect("f")).to.equal(false);
   });
 
   it("suspects a running request when the endpoint is then unreachable", () => {
     const { suspects, watch } = createWatch();
     watch.recordOutcome(
-      watch.registerAttempt("e1", CALL),
+      watch.registerAttempt(buildEndpoint("e1"), CALL),
       OutcomeKind.StreamBroken,
     );
     watch.recordOutcome(
-      watch.registerAttempt("e1", buildCall(0)),
+      watch.registerAttempt(buildEndpoint("e1"), buildCall(0)),
       OutcomeKind.NotSent,
     );
     expect(suspects.isSuspect("f")).to.equal(true);
@@ -42,7 +45,10 @@
 
   it("suspects no request at another endpoint or after the confirmation time", async () => {
     const { clock, suspects, watch } = createWatch();
-    watch.recordOutcome(watch.registerAttempt("e1", CALL), OutcomeKind.Broken);
+    watch.recordOutcome(
+      watch.registerAttempt(buildEndpoint("e1"), CALL),
+      OutcomeKind.Broken,
+    );
     watch.confirmCrash("e2");
     await clock.advance(10_000);
     watch.confirmCrash("e1");
@@ -51,10 +57,13 @@
 
   it("clears a request that later receives a complete response", () => {
     const { suspects, watch } = createWatch();
-    watch.recordOutcome(watch.registerAttempt("e1", CALL), OutcomeKind.Broken);
+    watch.recordOutcome(
+      watch.registerAttempt(buildEndpoint("e1"), CALL),
+      OutcomeKind.Broken,
+    );
     watch.confirmCrash("e1");
     watch.recordOutcome(
-      watch.registerAttempt("e2", CALL),
+      watch.registerAttempt(buildEndpoint("e2"), CALL),
       OutcomeKind.Answered,
     );
     expect(suspects.isSuspect("f")).to.equal(false);
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -243,12 +243,12 @@
       random,
       logger,
       suspects,
+      crashes,
       shares,
       state,
       localAdmission: new LocalAdmission({
         clock,
         shares,
-        suspects,
         crashes,
         findRuntime: (service) => services.find(service),
       }),
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -130,6 +130,11 @@
   "departures",
   "startedAtUnixMilliseconds",
   "holdMilliseconds",
+  "crashes",
+  "soundParts",
+  "part",
+  "sentAgeMilliseconds",
+  "depth",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -46,6 +46,30 @@
   kind: MessageKind.EndpointDeparture;
 }
 
+/** A prompt part of requests without a response when an endpoint crashed. */
+export interface ReportedPart {
+  part: string;
+  /** Time since the latest of the requests was sent. */
+  sentAgeMilliseconds: number;
+  /** The position of the part in the prompt. */
+  depth: number;
+}
+
+/** A crash of an endpoint's process, as one VM observed it. */
+export interface CrashReport {
+  endpoint: EndpointId;
+  startedAtUnixMilliseconds: number;
+  ageMilliseconds: number;
+  parts: ReportedPart[];
+}
+
+/** A prompt part to which an endpoint responded after a crash. */
+export interface SoundPart {
+  part: string;
+  /** Time since the response began. */
+  ageMilliseconds: number;
+}
+
 /** Shares a scheduler's load, demand and crash observations with another. */
 export interface ForwardingStateMessage {
   kind: MessageKind.ForwardingState;
@@ -55,6 +79,9 @@
   endpoints: EndpointUse[];
   organisations: OrganisationUse[];
   suspects: SuspectFingerprint[];
+  /** Unset for none; so are the sound parts. */
+  crashes?: CrashReport[];
+  soundParts?: SoundPart[];
   /** Registered endpoints that are about to shut down; unset for none. */
   departures?: EndpointDeparture[];
   /** Unset until the table has been read. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -67,6 +67,17 @@
   startedAtUnixMilliseconds: createOptional(isNumber),
 };
 
+const isCrashReport = createObject({
+  endpoint: isText,
+  startedAtUnixMilliseconds: isNumber,
+  ageMilliseconds: isAmount,
+  parts: createList(createObject({
+    part: isText,
+    sentAgeMilliseconds: isAmount,
+    depth: isAmount,
+  })),
+});
+
 const isPromptPart: Check = (value) =>
   Array.isArray(value) && value.length === 2 && isText(value[0]) &&
   isAmount(value[1]);
@@ -139,6 +150,11 @@
       crashedAttempts: createList(isText),
       ageMilliseconds: isAmount,
     })),
+    crashes: createOptional(createList(isCrashReport)),
+    soundParts: createOptional(createList(createObject({
+      part: isText,
+      ageMilliseconds: isAmount,
+    }))),
     departures: createOptional(createList(createObject(DEPARTURE_FIELDS))),
     configuration: createOptional(isTableAge),
     registrations: createOptional(isTableAge),
