Send nothing to an endpoint while its refusal asks for a pause

Callers saw: nothing yet. Cause: no line read Retry-After in an endpoint's response; a refused request was kept away from the endpoint, the next one was not. Evidence: "sends nothing to an endpoint for the time that its refusal asks for" on the code before: the caller is told 0.25 s in place of 1.5 s (the first of its checks to fail), and the next request goes to the endpoint again. Change: pauses belong to the VM that was asked, whichever VM schedules its requests: they restrict each request like endpoints that failed it, but strictly, and go to the scheduler with it. A restart ends a pause. When all endpoints of a service are paused, requests are refused at once, with the time until the first pause ends. Not tested: an endpoint that changes its mind within a pause.

--- a/packages/forwarding/src/admission/admission.ts
+++ b/packages/forwarding/src/admission/admission.ts
@@ -10,6 +10,8 @@
   call: SchedulableCall;
   /** Ids of endpoints that failed the request before. */
   avoid: ReadonlySet<EndpointId>;
+  /** Ids of endpoints that must not get requests of this VM. */
+  excluded: ReadonlySet<EndpointId>;
   /** Whether the request was submitted before and is counted already. */
   isRepeated: boolean;
 }
--- a/packages/forwarding/src/admission/admission_server.ts
+++ b/packages/forwarding/src/admission/admission_server.ts
@@ -162,6 +162,7 @@
     const { grant, refusal } = await admission.submit({
       call: buildCall(message, clock.now()),
       avoid: new Set(message.avoid),
+      excluded: new Set(message.excluded),
       isRepeated: message.isRepeated,
     }, entry.lifetime.signal);
     isDecided = true;
--- a/packages/forwarding/src/admission/local_admission.ts
+++ b/packages/forwarding/src/admission/local_admission.ts
@@ -40,7 +40,7 @@
   }
 
   override async submit(
-    { call, avoid, isRepeated }: AdmissionRequest,
+    { call, avoid, excluded, isRepeated }: AdmissionRequest,
     signal: AbortSignal,
   ): Promise<AdmissionResult> {
     const { shares, crashes, findRuntime } = this.#options;
@@ -57,7 +57,11 @@
     if (call.organisation !== undefined && !isRepeated) {
       shares.recordAsked(call.organisation, computeCost(call));
     }
-    const decision = await runtime.scheduler.submit(call, avoid, signal);
+    const decision = await runtime.scheduler.submit(
+      call,
+      { avoid, excluded },
+      signal,
+    );
     if (decision.refusal !== undefined) {
       return { refusal: decision.refusal };
     }
--- a/packages/forwarding/src/admission/remote_admission.ts
+++ b/packages/forwarding/src/admission/remote_admission.ts
@@ -91,7 +91,7 @@
     const { selector, local } = this.#options;
     let closedGrants = 0;
     let silentSchedulers = 0;
-    let avoid = request.avoid;
+    let { avoid, excluded } = request;
     while (silentSchedulers < MAX_SCHEDULERS) {
       const scheduler = selector.pick();
       if (scheduler === undefined) {
@@ -99,7 +99,7 @@
       }
       const reply = await this.#submitTo(
         scheduler,
-        { ...request, avoid },
+        { ...request, avoid, excluded },
         signal,
       );
       if ("lost" in reply) {
@@ -114,8 +114,9 @@
         return buildRefusal(RefusalKind.NoEndpoint);
       }
       avoid = new Set([...avoid, closed]);
+      excluded = new Set([...request.excluded, ...excluded, closed]);
     }
-    return await local.submit({ ...request, avoid }, signal);
+    return await local.submit({ ...request, avoid, excluded }, signal);
   }
 
   /** Handles a scheduler's message. */
@@ -197,7 +198,7 @@
 
   #buildSubmission(
     entry: EntryId,
-    { call, avoid, isRepeated }: AdmissionRequest,
+    { call, avoid, excluded, isRepeated }: AdmissionRequest,
   ): SubmitRequestMessage {
     const now = this.#options.clock.now();
     const { prompt } = call.identity;
@@ -223,6 +224,7 @@
         },
       }),
       avoid: [...avoid],
+      ...(excluded.size === 0 ? {} : { excluded: [...excluded] }),
       isRepeated,
     };
   }
--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -78,6 +78,8 @@
   state: FleetState;
   /** Decides on requests that this VM schedules. */
   localAdmission: Admission;
+  /** Whether an endpoint asked this VM to send nothing for now. */
+  isPaused: (endpoint: string) => boolean;
   listSchedulers: () => Iterable<ServiceScheduler>;
   /** Counts a running attempt at an endpoint; undefined if it is not known. */
   adoptAttempt: (endpoint: string) => AdoptedAttempt | undefined;
@@ -149,7 +151,8 @@
       sender,
       clock,
       logger: logger.forPart("scheduler"),
-      isClosed: (endpoint) => state.directory.isClosed(endpoint),
+      isClosed: (endpoint) =>
+        state.directory.isClosed(endpoint) || options.isPaused(endpoint),
     }, signal);
     this.admission = this.#remote;
     this.#server = new AdmissionServer({
--- a/packages/forwarding/src/fleet/fleet_failover_test.ts
+++ b/packages/forwarding/src/fleet/fleet_failover_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { buildCall } from "../testing/fixtures.ts";
 import {
   SimulatedFleet,
   type SimulatedVm,
@@ -93,6 +94,27 @@
     fleet.stop();
   });
 
+  it("a member's request gets no endpoint that asked the member for a pause (seed 8)", async () => {
+    const fleet = await startFleet({ seed: 8 });
+    const [member] = findMember(fleet);
+    const all = Array.from({ length: ENDPOINTS }, (_, i) => `endpoint-${i}`);
+    const excluded = new Set(all.slice(1));
+    for (let request = 0; request < 10; request++) {
+      const decision = member.fleet.admission.submit(
+        {
+          call: buildCall(member.clock.now()),
+          avoid: new Set(),
+          excluded,
+          isRepeated: false,
+        },
+        member.lifetime.signal,
+      );
+      await fleet.clock.advance(50);
+      expect((await decision).grant?.endpoint.id).to.equal(all[0]);
+    }
+    fleet.stop();
+  });
+
   const failures: [string, (f: SimulatedFleet, vm: SimulatedVm) => void][] = [
     ["killed", (fleet, vm) => fleet.kill(vm)],
     ["frozen", (_, vm) => vm.clock.freeze()],
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -28,6 +28,7 @@
 import type { Dialect } from "./model/dialect.ts";
 import type { RouteTable } from "./model/route_table.ts";
 import { FleetControl } from "./fleet/fleet_control.ts";
+import { EndpointPauses } from "./scheduling/endpoint_pauses.ts";
 import { EndpointProber } from "./scheduling/endpoint_prober.ts";
 import { ShareMeter } from "./scheduling/share_meter.ts";
 import { ServiceRegistry } from "./service_registry.ts";
@@ -76,6 +77,7 @@
   readonly #crashes: CrashTracker;
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
+  readonly #pauses: EndpointPauses;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
@@ -113,6 +115,11 @@
       isPolling: () => this.#fleet.isFollower,
     });
     this.#transport = new EndpointTransport(settings.callers.host, signal);
+    this.#pauses = new EndpointPauses({
+      clock,
+      logger: logger.forPart("scheduler"),
+      directory: this.#state.directory,
+    }, signal);
     this.#services = new ServiceRegistry({
       clock,
       random: this.#random,
@@ -149,6 +156,7 @@
         crashes: this.#crashes,
         findRuntime: (service) => this.#services.find(service),
       }),
+      isPaused: (endpoint) => this.#pauses.endpoints.has(endpoint),
       listSchedulers: () => this.#services.listSchedulers(),
       adoptAttempt: (endpoint) => this.#services.adoptAttempt(endpoint),
     }, signal);
@@ -306,6 +314,7 @@
       metrics: this.#metrics,
       admission: this.#fleet.admission,
       directory: this.#state.directory,
+      pauses: this.#pauses,
       countVms: () => this.#fleet.countVms(),
     }, {
       call,
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -399,6 +399,30 @@
     expect((await running).isComplete).to.equal(false);
   });
 
+  it("sends nothing to an endpoint for the time that its refusal asks for", async () => {
+    applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
+    const arrivals: number[] = [];
+    await harness.startEndpoint("e1", (received, response) => {
+      arrivals.push(performance.now());
+      response.setHeader("x-retry-after", "1500");
+      return sendNotRun(received, response);
+    });
+    const router = await harness.startReadyRouter();
+    const startedAt = performance.now();
+    const result = await harness.send(router);
+    expect(result.status).to.equal(503);
+    expect(Number(result.headers["retry-after"])).to.be.within(1, 1.5);
+    while (performance.now() < startedAt + 1_300) {
+      expect((await harness.send(router)).status).to.equal(503);
+    }
+    expect(arrivals).to.have.lengthOf(1);
+    await waitUntil(async () => {
+      await harness.send(router);
+      return arrivals.length > 1;
+    });
+    expect((arrivals[1] ?? 0) - startedAt).to.be.at.least(1_500);
+  });
+
   it("rejects a revoked API key, and every key while key data is stale", async () => {
     const publicRoute = buildRoute({ pathPrefix: "/open/", isPublic: true });
     harness.applyConfiguration({ routes: [buildRoute(), publicRoute] });
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -21,6 +21,7 @@
 const STATUS_OK = 200;
 const STATUS_SERVER_FAILURE = 500;
 const STATUS_WRONG_INSTANCE = 421;
+const STATUS_UNAVAILABLE = 503;
 /** No service sends longer answers than this, except as streams. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -38,6 +39,8 @@
   onAnswering: () => void;
   /** Called when the response announces the shutdown of the endpoint. */
   onLeaving: () => void;
+  /** Called when the endpoint refuses the request and asks for a pause. */
+  onPaused: (milliseconds: number) => void;
 }
 
 /** One attempt. Forwards the events of a stream as they arrive. */
@@ -105,6 +108,11 @@
     if (this.#isLeaving) {
       this.#options.onLeaving();
     }
+    const isRefusal = status === STATUS_UNAVAILABLE && !isOtherRequest &&
+      (marks.isNotRun || marks.isSealed);
+    if (isRefusal && marks.retryAfterMilliseconds !== undefined) {
+      this.#options.onPaused(marks.retryAfterMilliseconds);
+    }
     if (marks.isNotRun) {
       return;
     }
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -7,7 +7,9 @@
 import type { Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
 import type { ForwardingMetrics } from "../metrics/forwarding_metrics.ts";
+import type { EndpointPauses } from "../scheduling/endpoint_pauses.ts";
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
+import { type Refusal, RefusalKind } from "../scheduling/refusal.ts";
 import type { EndpointDirectory } from "../state/endpoint_directory.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -31,6 +33,7 @@
   metrics: ForwardingMetrics;
   admission: Admission;
   directory: EndpointDirectory;
+  pauses: EndpointPauses;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
 }
@@ -84,15 +87,17 @@
 
   async #serve(signal: AbortSignal): Promise<void> {
     const { call, retries } = this.#options;
+    const { admission, pauses } = this.#environment;
     retries.recordRequest();
     while (!signal.aborted) {
-      const { refusal, grant } = await this.#environment.admission.submit({
+      const { refusal, grant } = await admission.submit({
         call,
         avoid: this.#avoidedEndpoints,
+        excluded: pauses.endpoints,
         isRepeated: this.#progress.sends > 0,
       }, signal);
       if (refusal !== undefined) {
-        this.#finalAnswer.refuse(refusal);
+        this.#finalAnswer.refuse(this.#extendRetryAfter(refusal));
         return;
       }
       const outcome = await this.#attempt(grant, signal);
@@ -103,12 +108,26 @@
     }
   }
 
+  /** A caller that is turned away for paused endpoints waits for the first. */
+  #extendRetryAfter(refusal: Refusal): Refusal {
+    if (refusal.kind !== RefusalKind.NoEndpoint) {
+      return refusal;
+    }
+    const { pauses } = this.#environment;
+    const pause = pauses.computeRemaining(this.#options.call.service);
+    const retryAfterMilliseconds = Math.max(
+      refusal.retryAfterMilliseconds,
+      pause,
+    );
+    return { ...refusal, retryAfterMilliseconds };
+  }
+
   async #attempt(
     grant: AttemptGrant,
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
     const { call, answer } = this.#options;
-    const { directory } = this.#environment;
+    const { directory, pauses } = this.#environment;
     const endpoint = grant.endpoint.id;
     const startedAtUnixMilliseconds = directory.find(endpoint)
       ?.startedAtUnixMilliseconds;
@@ -122,6 +141,8 @@
       onAnswering: () => grant.recordAnswerStart(),
       onLeaving: () =>
         directory.recordDeparture({ endpoint, startedAtUnixMilliseconds }),
+      onPaused: (milliseconds) =>
+        pauses.record({ endpoint, service: call.service, milliseconds }),
     });
     const outcome = await attempt.run(signal);
     grant.recordEnd({
--- a/packages/forwarding/src/model/dialect.ts
+++ b/packages/forwarding/src/model/dialect.ts
@@ -36,6 +36,8 @@
   /** The endpoint states that it is about to shut down. */
   isLeaving: boolean;
   load: ReportedLoad | undefined;
+  /** For how long the endpoint wants no request from this VM. */
+  retryAfterMilliseconds: number | undefined;
 }
 
 /** Reads and writes the request and response headers of one deployment. */
--- a/packages/forwarding/src/scheduling/decision_cost_test.ts
+++ b/packages/forwarding/src/scheduling/decision_cost_test.ts
@@ -12,6 +12,7 @@
   buildEndpoint,
   buildPrompt,
   buildService,
+  NO_RESTRICTIONS,
 } from "../testing/fixtures.ts";
 import {
   type Choice,
@@ -36,6 +37,7 @@
   return {
     call: buildCall(0, { prompt: buildPrompt("part", 500) }),
     avoid: new Set<string>(),
+    excluded: new Set<string>(),
     remainingMilliseconds: 400,
     shareUsage: ShareUsage.Low,
     spareCapacityFactor: 1,
@@ -224,7 +226,7 @@
     const submit = () =>
       scheduler.submit(
         buildCall(clock.now(), { deadlineAt: 60_000 }),
-        new Set(),
+        NO_RESTRICTIONS,
         NEVER_ABORTED,
       );
     const { grant } = await submit();
@@ -243,7 +245,7 @@
     const { clock, scheduler } = createSlowScheduler(WAITING);
     for (let request = 0; request < 2 * WAITING; request++) {
       const call = buildCall(clock.now(), { deadlineAt: 60_000 });
-      void scheduler.submit(call, new Set(), NEVER_ABORTED).then(
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED).then(
         ({ grant }) => grant === undefined || grants.push(grant),
       );
     }
--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -1,5 +1,6 @@
 /** Contract for choosing the endpoint of a request. */
 
+import type { EndpointId } from "@rattanvane/protocol";
 import type { SchedulableCall } from "../model/call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { PrefillWork } from "./prefill_model.ts";
@@ -33,11 +34,17 @@
   isLong: boolean;
 }
 
+/** Ids of endpoints that a request is kept away from. */
+export interface EndpointRestrictions {
+  /** Those that failed the request before; used if there are no others. */
+  avoid: ReadonlySet<EndpointId>;
+  /** Those that must not get it. */
+  excluded: ReadonlySet<EndpointId>;
+}
+
 /** A request for an endpoint, with the limits that apply to it. */
-export interface ChoiceRequest {
+export interface ChoiceRequest extends EndpointRestrictions {
   call: SchedulableCall;
-  /** Ids of endpoints that failed the request before. */
-  avoid: ReadonlySet<string>;
   /** The time left of the latency objective, in milliseconds. */
   remainingMilliseconds: number;
   /** Its organisation's use of its fair share; higher use lowers the limits. */
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -109,7 +109,9 @@
   /** Whether the affinity engine is so much better that waiting for it pays. */
   #isWorthWaiting(query: Query, usable: Evaluation): boolean {
     const { affinityEngine } = query;
-    if (affinityEngine === undefined || usable.missingTokens === 0) {
+    const isUsable = affinityEngine !== undefined &&
+      !query.request.excluded.has(affinityEngine.record.id);
+    if (!isUsable || usable.missingTokens === 0) {
       return false;
     }
     const affinity = this.#evaluate(query, affinityEngine);
@@ -143,8 +145,8 @@
     let best: Evaluation | undefined;
     for (const endpoint of endpoints) {
       const evaluation = this.#evaluate(query, endpoint);
-      const isExcluded = evaluation.isLong && long.size > 0 &&
-        !long.has(endpoint);
+      const isExcluded = query.request.excluded.has(endpoint.record.id) ||
+        evaluation.isLong && long.size > 0 && !long.has(endpoint);
       const isBetter = best === undefined || evaluation.cost < best.cost;
       if (!isExcluded && isBetter && isUsable(evaluation)) {
         best = evaluation;
--- a/packages/forwarding/src/scheduling/engine_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_test.ts
@@ -41,6 +41,7 @@
   return {
     call: buildCall(0, { prompt: buildPrompt(shared, tokens) }),
     avoid: new Set(),
+    excluded: new Set(),
     remainingMilliseconds: buildRoute().objectiveMilliseconds,
     shareUsage: ShareUsage.Low,
     spareCapacityFactor: 1,
@@ -218,6 +219,7 @@
     const affinityEngine = findEndpoint(fixture, buildRequest("part-1", 500));
     const retry = buildRequest("part-1", 500, {
       avoid: new Set([affinityEngine.record.id]),
+      excluded: new Set(),
     });
     expect(findEndpoint(fixture, retry)).to.not.equal(affinityEngine);
   });
--- a/packages/forwarding/src/scheduling/plain_chooser.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser.ts
@@ -23,7 +23,9 @@
     if (endpoints.length === 0) {
       return NoCapacityReason.NoEndpoint;
     }
-    const open = endpoints.filter((endpoint) => hasCapacity(endpoint));
+    const open = endpoints.filter((endpoint) =>
+      hasCapacity(endpoint) && !request.excluded.has(endpoint.record.id)
+    );
     const best = pickLeastLoaded(open, request);
     return best === undefined ? NoCapacityReason.Busy : createChoice(best);
   }
--- a/packages/forwarding/src/scheduling/plain_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser_test.ts
@@ -20,6 +20,7 @@
   return {
     call: buildCall(0),
     avoid: new Set(avoid),
+    excluded: new Set(),
     remainingMilliseconds: 300,
     shareUsage: ShareUsage.Low,
     spareCapacityFactor: 1,
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -15,6 +15,7 @@
   type Choice,
   type ChoiceRequest,
   type EndpointChooser,
+  type EndpointRestrictions,
   NoCapacityReason,
 } from "./endpoint_chooser.ts";
 import { EndpointState, type LocalAttempt } from "./endpoint_state.ts";
@@ -118,13 +119,13 @@
    */
   submit(
     call: SchedulableCall,
-    avoid: ReadonlySet<string>,
+    restrictions: EndpointRestrictions,
     signal: AbortSignal,
   ): Promise<AdmissionDecision> {
     const now = this.#options.clock.now();
     const waiting: QueuedRequest = {
       call,
-      avoid,
+      ...restrictions,
       queuedAt: now,
       shareUsage: this.#computeShareUsage(call),
       startDeadlineAt: call.receivedAt + call.route.objectiveMilliseconds,
@@ -289,7 +290,9 @@
       this.#grant(waiting, choice);
       return undefined;
     }
-    if (choice === NoCapacityReason.NoEndpoint && !this.#hasOpenEndpoint()) {
+    const mayBeClosed = choice === NoCapacityReason.NoEndpoint ||
+      waiting.excluded.size > 0;
+    if (mayBeClosed && !this.#hasOpenEndpoint(waiting.excluded)) {
       this.#refuse(waiting, RefusalKind.NoEndpoint);
       return undefined;
     }
@@ -333,13 +336,14 @@
   }
 
   #buildChoiceRequest(waiting: QueuedRequest, now: number): ChoiceRequest {
-    const { call, avoid, startDeadlineAt } = waiting;
+    const { call, avoid, excluded, startDeadlineAt } = waiting;
     const shareUsage = this.#computeShareUsage(call);
     const remainingMilliseconds = startDeadlineAt - now;
     const spareCapacityFactor = this.#spareCapacity.factor;
     return {
       call,
       avoid,
+      excluded,
       remainingMilliseconds,
       shareUsage,
       spareCapacityFactor,
@@ -374,9 +378,9 @@
   }
 
   /** Whether any endpoint is open, even if it has no capacity at the moment. */
-  #hasOpenEndpoint(): boolean {
-    for (const endpoint of this.#endpoints.values()) {
-      if (endpoint.isOpen) {
+  #hasOpenEndpoint(excluded: ReadonlySet<string>): boolean {
+    for (const [id, endpoint] of this.#endpoints) {
+      if (endpoint.isOpen && !excluded.has(id)) {
         return true;
       }
     }
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -13,6 +13,7 @@
   buildPrompt,
   buildRoute,
   buildService,
+  NO_RESTRICTIONS,
 } from "../testing/fixtures.ts";
 import {
   type Choice,
@@ -32,7 +33,6 @@
 import { ShareMeter } from "./share_meter.ts";
 
 const NEVER_ABORTED = createLifetime().signal;
-const NO_FAILED_ENDPOINTS = new Set<string>();
 
 function createScheduler(slots = 2) {
   const clock = new ManualClock();
@@ -65,7 +65,7 @@
   const decisions: AdmissionDecision[] = [];
   for (let place = 0; place < count; place++) {
     decisions.push(
-      await scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED),
+      await scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED),
     );
   }
   return decisions;
@@ -77,7 +77,7 @@
     const call = buildCall(clock.now());
     const first = await runCalls(scheduler, call, 3);
     expect(first.every(isGranted)).to.equal(true);
-    const waiting = scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED);
+    const waiting = scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED);
     expect(scheduler.waiting).to.equal(1);
     const { grant } = first[0] as AdmissionDecision;
     if (grant !== undefined) {
@@ -93,7 +93,7 @@
     const submit = (name: string, priority: number) =>
       scheduler.submit(
         buildCall(clock.now(), { priority }),
-        NO_FAILED_ENDPOINTS,
+        NO_RESTRICTIONS,
         NEVER_ABORTED,
       )
         .then(() => order.push(name));
@@ -113,7 +113,7 @@
     await runCalls(scheduler, call, 3);
     let granted = 0;
     for (let request = 0; request < 20; request++) {
-      void scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED).then(
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED).then(
         (decision) => {
           granted += isGranted(decision) ? 1 : 0;
         },
@@ -132,7 +132,7 @@
     const call = buildCall(clock.now());
     const { refusal } = await scheduler.submit(
       call,
-      NO_FAILED_ENDPOINTS,
+      NO_RESTRICTIONS,
       NEVER_ABORTED,
     );
     expect(refusal?.kind).to.equal(RefusalKind.NoEndpoint);
@@ -145,7 +145,7 @@
     const caller = new AbortController();
     const waiting = scheduler.submit(
       buildCall(clock.now()),
-      NO_FAILED_ENDPOINTS,
+      NO_RESTRICTIONS,
       caller.signal,
     );
     caller.abort();
@@ -161,7 +161,7 @@
     await clock.advance(5);
     const refused: RefusalKind[] = [];
     for (let request = 0; request < 20; request++) {
-      void scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED).then(
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED).then(
         ({ refusal }) => {
           if (refusal !== undefined) {
             refused.push(refusal.kind);
@@ -182,7 +182,7 @@
       const prompt = buildPrompt("part", 400);
       const call = buildCall(clock.now(), { organisation: "greedy", prompt });
       shares.recordAsked("greedy", 5_800);
-      return scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED);
+      return scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED);
     };
     const granted = [];
     for (let request = 0; request < 8; request++) {
@@ -211,7 +211,7 @@
     const refused: string[] = [];
     const submit = (name: string, priority: number) => {
       const call = buildCall(clock.now(), { route, priority });
-      void scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED).then(
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED).then(
         ({ refusal }) => {
           if (refusal !== undefined) {
             refused.push(name);
@@ -239,7 +239,7 @@
       const prompt = buildPrompt("part", 400);
       const call = buildCall(clock.now(), { organisation: "greedy", prompt });
       shares.recordAsked("greedy", 5_800);
-      void scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED);
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED);
       if (request % 50 === 0) {
         // Advances beyond the refresh interval of the share meter.
         await clock.advance(60);
@@ -259,7 +259,7 @@
       const prompt = buildPrompt("part", 400);
       const call = buildCall(clock.now(), { organisation, prompt });
       shares.recordAsked(organisation, 5_800);
-      void scheduler.submit(call, NO_FAILED_ENDPOINTS, NEVER_ABORTED).then(
+      void scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED).then(
         ({ grant }) => {
           if (grant !== undefined) {
             running.push(grant);
@@ -283,6 +283,26 @@
     expect(modest).to.equal(5);
     expect(greedy).to.be.within(1, 40 * GREEDY_REQUESTS - 1);
   });
+
+  it("keeps a request away from excluded endpoints, and refuses it at once if there are no others", async () => {
+    const { scheduler } = createScheduler(64);
+    const excluded = new Set(["e1"]);
+    const submit = () =>
+      scheduler.submit(
+        buildCall(0),
+        { avoid: new Set(), excluded },
+        NEVER_ABORTED,
+      );
+    expect((await submit()).refusal?.kind).to.equal(RefusalKind.NoEndpoint);
+    scheduler.updateEndpoint(buildEndpoint("e2"), true);
+    for (let request = 0; request < 5; request++) {
+      const { grant } = await submit();
+      expect(grant?.endpoint.record.id).to.equal("e2");
+    }
+    excluded.delete("e1");
+    const { grant } = await submit();
+    expect(grant?.endpoint.record.id).to.equal("e1");
+  });
 });
 
 /** Counts the calls of `choose`. */
--- a/packages/forwarding/src/scheduling/waiting_queue.ts
+++ b/packages/forwarding/src/scheduling/waiting_queue.ts
@@ -2,13 +2,12 @@
 
 import type { Deferred } from "@rattanvane/base";
 import type { SchedulableCall } from "../model/call.ts";
+import type { EndpointRestrictions } from "./endpoint_chooser.ts";
 import { ShareUsage } from "./share_meter.ts";
 
 /** A waiting request; `Decision` is the type of the result it waits for. */
-export interface WaitingEntry<Decision> {
+export interface WaitingEntry<Decision> extends EndpointRestrictions {
   call: SchedulableCall;
-  /** Ids of endpoints that failed the request before. */
-  avoid: ReadonlySet<string>;
   /** Monotonic time at which the request was queued, in milliseconds. */
   queuedAt: number;
   /** The organisation's use of its share when the request was queued. */
--- a/packages/forwarding/src/scheduling/waiting_queue_test.ts
+++ b/packages/forwarding/src/scheduling/waiting_queue_test.ts
@@ -14,6 +14,7 @@
   return {
     call: buildCall(NOW, { priority: priority ?? 1 }),
     avoid: new Set(),
+    excluded: new Set(),
     queuedAt: NOW,
     shareUsage: ShareUsage.Low,
     startDeadlineAt: NOW + 400,
--- a/packages/forwarding/src/testing/fixtures.ts
+++ b/packages/forwarding/src/testing/fixtures.ts
@@ -5,6 +5,7 @@
   EndpointPhase,
   type EndpointRecord,
 } from "../model/endpoint_record.ts";
+import type { EndpointRestrictions } from "../scheduling/endpoint_chooser.ts";
 import {
   type ForwardedService,
   type ForwardingConfiguration,
@@ -12,6 +13,12 @@
   Repeatability,
 } from "../model/route.ts";
 
+/** A request that may go to any endpoint. */
+export const NO_RESTRICTIONS: EndpointRestrictions = {
+  avoid: new Set(),
+  excluded: new Set(),
+};
+
 /** Builds an idempotent route to the service `engines`. */
 export function buildRoute(
   changes: Partial<ForwardingRoute> = {},
--- a/packages/forwarding/src/testing/simulated_engines.ts
+++ b/packages/forwarding/src/testing/simulated_engines.ts
@@ -5,13 +5,12 @@
 import type { ForwardedCall } from "../model/call.ts";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import type { MemoryFeed } from "./memory_feed.ts";
-import { buildCall, buildEndpoint } from "./fixtures.ts";
+import { buildCall, buildEndpoint, NO_RESTRICTIONS } from "./fixtures.ts";
 import type { SimulatedVm } from "./simulated_fleet.ts";
 
 const PREFILL_MILLISECONDS = 80;
 const RESPONSE_MILLISECONDS = 1_500;
 const RESTART_MILLISECONDS = 3_000;
-const NO_ENDPOINTS: ReadonlySet<string> = new Set();
 
 /** A request that reached an engine, or was refused. */
 export interface SimulatedResult {
@@ -66,7 +65,11 @@
     this.results.push(result);
     for (let attempt = 0; attempt < call.route.attempts; attempt++) {
       const { grant } = await vm.fleet.admission.submit(
-        { call, avoid: NO_ENDPOINTS, isRepeated: attempt > 0 },
+        {
+          call,
+          ...NO_RESTRICTIONS,
+          isRepeated: attempt > 0,
+        },
         signal,
       );
       if (grant === undefined) {
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -252,6 +252,7 @@
         crashes,
         findRuntime: (service) => services.find(service),
       }),
+      isPaused: () => false,
       listSchedulers: () => services.listSchedulers(),
       adoptAttempt: (endpoint) => services.adoptAttempt(endpoint),
       createNetwork: (receive) => this.#connect(contact.vm, receive, clock),
--- a/packages/forwarding/src/testing/simulated_load.ts
+++ b/packages/forwarding/src/testing/simulated_load.ts
@@ -4,11 +4,10 @@
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { AttemptGrant } from "../admission/admission.ts";
-import { buildCall } from "./fixtures.ts";
+import { buildCall, NO_RESTRICTIONS } from "./fixtures.ts";
 import type { SimulatedVm } from "./simulated_fleet.ts";
 
 const FIRST_BYTE_MILLISECONDS = 50;
-const NO_ENDPOINTS: ReadonlySet<string> = new Set();
 
 /** How one request was decided, in milliseconds of the simulated clock. */
 export interface SimulatedDecision {
@@ -42,7 +41,7 @@
     const call = buildCall(vm.clock.now(), changes);
     this.pending++;
     const { grant } = await vm.fleet.admission.submit(
-      { call, avoid: NO_ENDPOINTS, isRepeated: false },
+      { call, ...NO_RESTRICTIONS, isRepeated: false },
       signal,
     );
     this.pending--;
--- a/packages/forwarding/src/testing/test_dialect.ts
+++ b/packages/forwarding/src/testing/test_dialect.ts
@@ -58,6 +58,9 @@
       isReencoded: headers["content-encoding"] !== undefined,
       isLeaving: headers["x-leaving"] !== undefined,
       load: undefined,
+      retryAfterMilliseconds: headers["x-retry-after"] === undefined
+        ? undefined
+        : Number(headers["x-retry-after"]),
     };
   }
 }
--- a/packages/protocol/src/admission_messages.ts
+++ b/packages/protocol/src/admission_messages.ts
@@ -44,6 +44,8 @@
   prompt?: PromptDescription;
   /** Endpoints that failed the request before. */
   avoid: EndpointId[];
+  /** Endpoints that must not get requests of this member; unset for none. */
+  excluded?: EndpointId[];
   /** The request was submitted before and is counted already. */
   isRepeated: boolean;
 }
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -135,6 +135,7 @@
   "part",
   "sentAgeMilliseconds",
   "depth",
+  "excluded",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -195,6 +195,7 @@
     remainingMilliseconds: isNumber,
     prompt: createOptional(isPrompt),
     avoid: createList(isText),
+    excluded: createOptional(createList(isText)),
     isRepeated: isFlag,
   }),
   [MessageKind.WithdrawRequest]: isEntry,
