Do not continue a stream with an answer of another type

Looked for with tests against the stand-in: a next answer with status 500, 503 or 404 does not reach the caller's stream here, which ends cut, with the first endpoint's events only (passed on the code before). A next answer with status 200 and a body that is no event stream was written into the stream (the fourth case failed before: the JSON text behind the third event). Cause: whether an answer continues a stream was decided by its status alone. Change: an answer that states another content type than the stream began with is no continuation; its attempt counts as broken, and the stream goes on elsewhere or ends cut. Endpoints that state no type are taken as before.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -245,6 +245,31 @@
     expect(harness.receivedRequests).to.have.lengthOf(1);
   });
 
+  for (const status of [500, 503, 404, 200]) {
+    it(`aborts a stream whose next endpoint answers with an error (${status})`, async () => {
+      applyRoute({ repeatability: Repeatability.ResumableStream, attempts: 2 });
+      let isFirst = true;
+      const handler: EndpointHandler = (received, response) => {
+        if (isFirst) {
+          isFirst = false;
+          return createStream(3, false)(received, response);
+        }
+        const isRefusal = status === 503;
+        response.writeHead(status, {
+          "content-type": "application/json",
+          ...(isRefusal ? { "x-not-run": "1" } : { "x-seal": "other" }),
+          "x-request": "r1",
+        }).end('{"error": "its failure"}\n\n');
+      };
+      await harness.startEndpoint("e1", handler);
+      await harness.startEndpoint("e2", handler);
+      const router = await harness.startReadyRouter();
+      const result = await harness.send(router);
+      expect(result.body).to.equal(buildEvents(3));
+      expect(result.isComplete).to.equal(false);
+    });
+  }
+
   it("forwards a response without a length as such, but not one that is reset", async () => {
     applyRoute({ repeatability: Repeatability.Once });
     let isReset = false;
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -122,6 +122,9 @@
       return;
     }
     this.#isStream = status === STATUS_OK && isStreamed(call);
+    if (this.#isStream && !this.#options.answer.mayContinueWith(headers)) {
+      this.#rejectAnswer("The answer is no continuation of the stream");
+    }
   }
 
   /** Reads what the endpoint says of itself, besides answering the request. */
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -29,6 +29,7 @@
 export class CallerAnswer {
   readonly #response: ServerResponse;
   readonly #shouldClose: () => boolean;
+  #streamType: string | string[] | undefined;
 
   /**
    * `shouldClose` is asked with each answer whether its connection is to be
@@ -85,9 +86,16 @@
 
   /** Starts a stream with the status and headers of an endpoint's answer. */
   beginStream(status: number, headers: AnswerHeaders): void {
+    this.#streamType = headers["content-type"];
     this.#response.writeHead(status, this.#collectHeaders(headers));
   }
 
+  /** Whether an answer with these headers may go on with the begun stream. */
+  mayContinueWith(headers: AnswerHeaders): boolean {
+    const type = headers["content-type"];
+    return !this.hasBegun || type === undefined || type === this.#streamType;
+  }
+
   /** Writes a chunk of a stream; false signals backpressure by the caller. */
   write(chunk: Uint8Array): boolean {
     return this.#response.write(chunk);
