--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -17,6 +17,17 @@
 
 const NON_REPEATABLE_KINDS = [Repeatability.Once, Repeatability.Stream];
 
+const HEADS_BROKEN_OFF = [
+  "HTTP/1.1 200 OK",
+  "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-req",
+  "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
+  "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\nconnection: close\r\n",
+  "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\ncontent-length: 5\r\n\r\nab",
+  "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\ntransfer-encoding: chunked\r\n\r\n3\r\na",
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
+  "HTTP/1.0 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
+];
+
 let harness = new RouterHarness();
 
 function applyRoute(changes: Partial<ForwardingRoute>): void {
@@ -270,6 +281,22 @@
     });
   }
 
+  for (const repeatability of NON_REPEATABLE_KINDS) {
+    for (const head of HEADS_BROKEN_OFF) {
+      it(`reports an unknown outcome when an endpoint stops in the head of a response of kind ${repeatability}: ${JSON.stringify(head)}`, async () => {
+        applyRoute({ repeatability });
+        await harness.startEndpoint("e1", ({ request }) => {
+          request.socket.end(head);
+        });
+        const router = await harness.startReadyRouter();
+        const result = await harness.send(router);
+        expect(result.status).to.equal(502);
+        expect(result.headers["x-seal"]).to.equal(undefined);
+        expect(harness.receivedRequests).to.have.lengthOf(1);
+      });
+    }
+  }
+
   it("forwards a response without a length as such, but not one that is reset", async () => {
     applyRoute({ repeatability: Repeatability.Once });
     let isReset = false;
