Reset the connection of a stream without framing that breaks off

Cause: a cut was shown by closing the connection, which says something only where chunks mark the end. Class: the sign of a failure depends on a framing that is not always there. Evidence: three of four cases failed before ("expected true to equal false": ends inside an event, is reset at its end, is reset inside it); the fourth, a complete one, passed before and after. Change: an aborted response that has no framing resets its connection.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -376,6 +376,29 @@
     expect(result.isComplete).to.equal(false);
   });
 
+  for (const isReset of [false, true]) {
+    for (const rest of ["", "id: 3\ndat"]) {
+      const end = isReset ? "is reset" : "ends";
+      const isWhole = !isReset && rest === "";
+      it(`shows the caller whether a stream without framing that ${end} after ${JSON.stringify(rest)} is complete`, async () => {
+        applyRoute({ repeatability: Repeatability.Stream });
+        await harness.startEndpoint("e1", ({ request: { socket } }) => {
+          const head = "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n" +
+            "content-type: text/event-stream\r\nconnection: close\r\n\r\n";
+          socket.write(`${head}${buildEvents(2)}${rest}`, () => {
+            const end = () => isReset ? socket.resetAndDestroy() : socket.end();
+            setTimeout(end, 30);
+          });
+        });
+        const router = await harness.startReadyRouter();
+        const result = await harness.send(router);
+        expect(result.status).to.equal(200);
+        expect(result.isComplete).to.equal(isWhole);
+        expect(result.body.startsWith(buildEvents(2))).to.equal(true);
+      });
+    }
+  }
+
   it("aborts the response when a stream that must not be retried breaks", async () => {
     applyRoute({ repeatability: Repeatability.Stream });
     await harness.startEndpoint("e1", createStream(3, false));
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -30,6 +30,7 @@
   readonly #response: ServerResponse;
   readonly #shouldClose: () => boolean;
   #streamType: string | string[] | undefined;
+  #hasStreamFraming = true;
 
   /**
    * `shouldClose` is asked with each answer whether its connection is to be
@@ -87,6 +88,7 @@
   /** Starts a stream with the status and headers of an endpoint's answer. */
   beginStream(status: number, headers: AnswerHeaders): void {
     this.#streamType = headers["content-type"];
+    this.#hasStreamFraming = isFramed(headers);
     this.#response.writeHead(status, this.#collectHeaders(headers));
   }
 
@@ -111,9 +113,17 @@
     this.#response.end();
   }
 
-  /** Closes the connection, so that the stream cannot be taken for complete. */
+  /**
+   * Closes the connection, so that the stream cannot be taken for complete. One
+   * without framing is complete when its connection ends, so that one is reset.
+   */
   abortStream(): void {
-    this.#response.destroy();
+    const { socket } = this.#response;
+    if (this.#hasStreamFraming || socket === null) {
+      this.#response.destroy();
+    } else {
+      socket.resetAndDestroy();
+    }
   }
 
   #collectHeaders(headers: AnswerHeaders): Record<string, string | string[]> {
