--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -127,19 +127,6 @@
     }
   }
 
-  /** Reads what the endpoint says of itself, besides answering the request. */
-  #readNotices(status: number, marks: AnswerMetadata): void {
-    this.#isLeaving = marks.isLeaving && status !== STATUS_WRONG_INSTANCE;
-    if (this.#isLeaving) {
-      this.#options.onLeaving();
-    }
-    const isRefusal = status === STATUS_UNAVAILABLE &&
-      (marks.isNotRun || marks.isSealed);
-    if (isRefusal && marks.retryAfterMilliseconds !== undefined) {
-      this.#options.onPaused(marks.retryAfterMilliseconds);
-    }
-  }
-
   override receive(chunk: Uint8Array): void {
     if (this.#isFinished) {
       return;
@@ -197,6 +184,19 @@
     );
   }
 
+  /** Reads what the endpoint says of itself, besides answering the request. */
+  #readNotices(status: number, marks: AnswerMetadata): void {
+    this.#isLeaving = marks.isLeaving && status !== STATUS_WRONG_INSTANCE;
+    if (this.#isLeaving) {
+      this.#options.onLeaving();
+    }
+    const isRefusal = status === STATUS_UNAVAILABLE &&
+      (marks.isNotRun || marks.isSealed);
+    if (isRefusal && marks.retryAfterMilliseconds !== undefined) {
+      this.#options.onPaused(marks.retryAfterMilliseconds);
+    }
+  }
+
   #relayEvents(chunk: Uint8Array): void {
     const { answer, splitter } = this.#options;
     const events = splitter.split(chunk);
--- a/packages/forwarding/src/scheduling/endpoint_pauses.ts
+++ b/packages/forwarding/src/scheduling/endpoint_pauses.ts
@@ -100,7 +100,8 @@
   }
 
   #applyChange({ kind, entry }: DirectoryChange): void {
-    if (kind !== DirectoryChangeKind.Updated) {
+    // A registration that is missing for a while is that of the same process.
+    if (kind === DirectoryChangeKind.Started) {
       this.#remove(entry.record.id);
     }
   }
--- a/packages/forwarding/src/scheduling/endpoint_pauses_test.ts
+++ b/packages/forwarding/src/scheduling/endpoint_pauses_test.ts
@@ -41,6 +41,8 @@
     const { clock, directory, pauses } = createPauses();
     pauses.record(buildPause(60_000));
     directory.update(buildEndpoint("e1"));
+    directory.remove("e1");
+    directory.update(buildEndpoint("e1"));
     expect(pauses.endpoints.has("e1")).to.equal(true);
     directory.update(buildEndpoint("e1", { startedAtUnixMilliseconds: 9 }));
     expect(pauses.endpoints.has("e1")).to.equal(false);
