Judge prompt parts with earlier responses last, and none before any response

Callers would see: every request of a service refused for ten minutes, after all engines crashed at once. Cause: while no engine responds, a part that nearly all requests share is not cleared, and as the part of the latest requests it could count more crashes in a row than the deadly one. It was then taken for the likelier cause, all requests were refused, and nothing could clear it any more. Class: the absence of good news taken as evidence where there could be none. Change: parts without any response are judged first; a part that had one is blamed only for crashes that no recurring part without one explains, and only if engines have responded to others since. A VM that has seen no response at all blames nothing.

--- a/packages/forwarding/src/fleet/deadly_part_test.ts
+++ b/packages/forwarding/src/fleet/deadly_part_test.ts
@@ -11,17 +11,48 @@
 const MAX_LATE_REQUESTS = 3;
 const STEP_MILLISECONDS = 20;
 const STEPS = 1_500;
-const SUBJECTS = 12;
 
-const sizes: { vms: number; endpoints: number; seeds: number[] }[] = [
-  { vms: 6, endpoints: 6, seeds: [1, 2, 3] },
-  { vms: 40, endpoints: 12, seeds: [4] },
+/** How requests with the part differ from sound ones. */
+interface Traffic {
+  name: string;
+  vms: number;
+  endpoints: number;
+  seeds: number[];
+  pickShare: (random: RandomSource) => number;
+  pickSubjects: (random: RandomSource) => number;
+  /** The position of the part in a prompt that begins with two others. */
+  pickPosition: (random: RandomSource) => number;
+}
+
+const RARE = {
+  pickShare: () => 0.05,
+  pickSubjects: () => 12,
+  pickPosition: () => 2,
+};
+
+const FREQUENT = {
+  pickShare: (random: RandomSource) => 0.02 + 0.1 * random.nextFraction(),
+  pickSubjects: (random: RandomSource) => random.nextInteger(3, 30),
+  pickPosition: (random: RandomSource) => random.nextInteger(1, 2),
+};
+
+const traffics: Traffic[] = [
+  { name: "rare, 6 VMs", vms: 6, endpoints: 6, seeds: [1, 2, 3], ...RARE },
+  { name: "rare, 40 VMs", vms: 40, endpoints: 12, seeds: [4], ...RARE },
+  {
+    name: "frequent, 6 VMs",
+    vms: 6,
+    endpoints: 6,
+    seeds: [113, 123, 149],
+    ...FREQUENT,
+  },
 ];
 
 describe("a prompt part that crashes engines", () => {
-  for (const { vms, endpoints, seeds } of sizes) {
-    for (const seed of seeds) {
-      it(`stops reaching engines, and sound requests with its other parts are served, at ${vms} VMs (seed ${seed})`, async () => {
+  for (const traffic of traffics) {
+    for (const seed of traffic.seeds) {
+      it(`stops reaching engines, and sound requests with its other parts are served: ${traffic.name} (seed ${seed})`, async () => {
+        const { endpoints, vms } = traffic;
         const fleet = new SimulatedFleet({ seed, zones: 3, endpoints });
         await fleet.startAll(vms);
         await fleet.clock.advance(4_000);
@@ -31,13 +62,17 @@
           "deadly",
         );
         const random = new RandomSource(seed);
+        const share = traffic.pickShare(random);
+        const subjects = traffic.pickSubjects(random);
         const all = [...fleet.vms.values()];
         for (let step = 0; step < STEPS; step++) {
           const vm = all[random.nextInteger(0, all.length - 1)];
-          const subject = `subject-${random.nextInteger(1, SUBJECTS)}`;
-          const isDeadly = random.nextFraction() < 0.05;
+          const subject = `subject-${random.nextInteger(1, subjects)}`;
+          const parts = ["system", subject];
+          if (random.nextFraction() < share) {
+            parts.splice(traffic.pickPosition(random), 0, "deadly");
+          }
           if (vm !== undefined) {
-            const parts = ["system", subject, ...(isDeadly ? ["deadly"] : [])];
             void engines.submit(vm, parts);
           }
           await fleet.clock.advance(STEP_MILLISECONDS);
--- a/packages/forwarding/src/state/prompt_part_suspects.ts
+++ b/packages/forwarding/src/state/prompt_part_suspects.ts
@@ -76,6 +76,8 @@
   readonly #soundAt = new Map<string, number>();
   /** Parts that a response has just cleared. */
   readonly #clearedParts = new Map<string, number>();
+  /** When the latest response to any part began. */
+  #lastResponseAt = -Infinity;
   #quarantined = new Set<string>();
   #isOutdated = false;
 
@@ -196,6 +198,11 @@
   /** Clears a part of earlier crashes; returns whether it was blamed for any. */
   #clear(part: string, at: number): boolean {
     const soundAt = Math.max(at, this.#soundAt.get(part) ?? -Infinity);
+    const isFirst = this.#soundAt.size === 0;
+    if (isFirst || (at > this.#lastResponseAt && this.#crashes.size > 0)) {
+      this.#isOutdated = true;
+    }
+    this.#lastResponseAt = Math.max(this.#lastResponseAt, at);
     this.#soundAt.delete(part);
     this.#soundAt.set(part, soundAt);
     if (this.#soundAt.size > MAX_SOUND_PARTS) {
@@ -267,30 +274,38 @@
   }
 
   /**
-   * Picks the part that explains most crashes, leaves these out, and goes on
-   * with the others. So a part is not blamed for being in the same requests as
-   * the one that causes the crashes.
+   * Parts without any response come first: of these, the one that explains most
+   * crashes. A part is not blamed for being in the same requests as another.
    */
   #computeQuarantined(): Set<string> {
     const quarantined = new Set<string>();
+    if (this.#soundAt.size === 0) {
+      // Without any response, nothing tells the parts of requests apart.
+      return quarantined;
+    }
     let unexplained = [...this.#crashes.values()]
       .sort((first, second) => first.at - second.at);
     for (;;) {
-      const part = this.#pickMostBlamed(unexplained);
+      const part = this.#pickNeverSound(unexplained);
       if (part === undefined) {
-        return quarantined;
+        break;
       }
       quarantined.add(part);
       unexplained = unexplained.filter(({ parts }) => !parts.has(part));
     }
+    for (const part of this.#listOnceSound(unexplained)) {
+      quarantined.add(part);
+    }
+    return quarantined;
   }
 
-  #pickMostBlamed(crashes: readonly KnownCrash[]): string | undefined {
+  #pickNeverSound(crashes: readonly KnownCrash[]): string | undefined {
     let best: string | undefined;
     let bestBlame: Blame | undefined;
     for (const [part, blame] of computeBlames(crashes)) {
-      const isEnough = blame.crashes >= CRASHES_UNTIL_QUARANTINE;
-      if (isEnough && this.#isMoreLikely([part, blame], [best, bestBlame])) {
+      const isCandidate = blame.crashes >= CRASHES_UNTIL_QUARANTINE &&
+        !this.#soundAt.has(part);
+      if (isCandidate && isMoreLikely(blame, bestBlame)) {
         best = part;
         bestBlame = blame;
       }
@@ -298,18 +313,33 @@
     return best;
   }
 
-  #isMoreLikely(
-    [part, blame]: [string, Blame],
-    [otherPart, other]: [string | undefined, Blame | undefined],
-  ): boolean {
-    if (otherPart === undefined || other === undefined) {
-      return true;
+  /**
+   * Lists parts that had responses before and crash engines now. While no engine
+   * responds to anything, that a part has no response says nothing of it.
+   */
+  #listOnceSound(crashes: readonly KnownCrash[]): string[] {
+    const recurring = this.#listRecurringNeverSound(crashes);
+    const unexplained = crashes.filter(({ parts }) =>
+      !recurring.some((part) => parts.has(part))
+    );
+    return [...computeBlames(unexplained)]
+      .filter(([part, blame]) =>
+        blame.crashes >= CRASHES_UNTIL_QUARANTINE && this.#soundAt.has(part) &&
+        this.#lastResponseAt > blame.lastCountedAt
+      )
+      .map(([part]) => part);
+  }
+
+  #listRecurringNeverSound(crashes: readonly KnownCrash[]): string[] {
+    const counts = new Map<string, number>();
+    for (const { parts } of crashes) {
+      for (const part of parts.keys()) {
+        counts.set(part, (counts.get(part) ?? 0) + 1);
+      }
     }
-    const hadResponses = Number(this.#soundAt.has(part)) -
-      Number(this.#soundAt.has(otherPart));
-    const difference = blame.crashes - other.crashes || -hadResponses ||
-      blame.depth - other.depth;
-    return difference > 0;
+    return [...counts].filter(([part, count]) =>
+      count > 1 && !this.#soundAt.has(part)
+    ).map(([part]) => part);
   }
 
   #logChanges(quarantined: ReadonlySet<string>): void {
@@ -348,6 +378,12 @@
   return blames;
 }
 
+/** Whether a part with a blame is a likelier cause than another one. */
+function isMoreLikely(blame: Blame, other: Blame | undefined): boolean {
+  return other === undefined || blame.crashes > other.crashes ||
+    (blame.crashes === other.crashes && blame.depth > other.depth);
+}
+
 function convertPart(
   { part, sentAt, depth }: SuspectPart,
   now: number,
--- a/packages/forwarding/src/state/prompt_part_suspects_test.ts
+++ b/packages/forwarding/src/state/prompt_part_suspects_test.ts
@@ -10,6 +10,7 @@
     clock,
     logger: createSilentLogger(),
   });
+  suspects.recordResponse(["system"], clock.now() - 1);
   return { clock, suspects };
 }
 
@@ -62,6 +63,8 @@
       suspects.recordResponse(["deadly"], beganAt);
       await clock.advance(BETWEEN_CRASHES_MILLISECONDS);
     }
+    expect(suspects.hasQuarantined(["deadly"])).to.equal(false);
+    suspects.recordResponse(["other"], clock.now());
     expect(suspects.hasQuarantined(["deadly"])).to.equal(true);
   });
 
@@ -90,6 +93,33 @@
     expect(suspects.size).to.equal(0);
   });
 
+  it("does not blame a part of nearly all requests while no engine responds", async () => {
+    const { clock, suspects } = createSuspects();
+    await clock.advance(1_000);
+    const sentAt = clock.now() - 100;
+    for (const endpoint of ["e1", "e2", "e3", "e4", "e5", "e6"]) {
+      addCrash(suspects, clock, { endpoint, parts: ["deadly"], sentAt });
+      addCrash(suspects, clock, { endpoint, parts: ["system"] });
+      await clock.advance(100);
+    }
+    expect(suspects.hasQuarantined(["system"])).to.equal(false);
+  });
+
+  it("blames no part before it has seen any response", async () => {
+    const clock = new ManualClock();
+    const suspects = new PromptPartSuspects({
+      clock,
+      logger: createSilentLogger(),
+    });
+    for (const endpoint of ["e1", "e2", "e3"]) {
+      addCrash(suspects, clock, { endpoint, parts: ["system", "deadly"] });
+      await clock.advance(BETWEEN_CRASHES_MILLISECONDS);
+    }
+    expect(suspects.size).to.equal(0);
+    suspects.recordResponse(["system"], clock.now());
+    expect(suspects.hasQuarantined(["deadly"])).to.equal(true);
+  });
+
   it("adds up the crashes that several VMs observed, and tells one that starts later", async () => {
     const clock = new ManualClock();
     const vms = [1, 2, 3].map(() => createSuspects(clock).suspects);
