Log each second in which the event loop of a VM is hardly idle

What callers saw: no connection at a VM that was ready and busy. Its log had refusals and answers only, so nothing told whether connections waited too long in the kernel's queue, whether turns of the event loop were long, or whether requests on kept connections came first.

Change: connections that were accepted, those that ended unread, first and later requests of connections, requests whose callers left before they began, turns of the event loop and its utilization, in one line a second while the loop is active for more than 80 % of it; connections also as a metric. No decision depends on it.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -200,6 +200,7 @@
     this.#runTask("fleet control", this.#fleet.run(signal));
     await this.#readiness.start(signal);
     await this.#ingress.start(signal);
+    this.#runTask("ingress", this.#ingress.run(signal));
     logger.info("listening", {
       vm: settings.self.vm,
       zone: settings.zone,
@@ -291,6 +292,7 @@
           : undefined,
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
+      countConnection: (event) => this.#metrics.recordConnection(event),
       recordTurn: (milliseconds) => this.#metrics.recordTurn(milliseconds),
     });
   }
--- /dev/null
+++ b/packages/forwarding/src/ingress/ingress_load.ts
@@ -0,0 +1,136 @@
+/** Measures how a VM's event loop keeps up with its callers' connections. */
+
+import type { Socket } from "node:net";
+import { type EventLoopUtilization, performance } from "node:perf_hooks";
+import type { Clock, Logger } from "@rattanvane/base";
+
+const REPORT_INTERVAL_MILLISECONDS = 1_000;
+/** An event loop that is idle for longer than this keeps up with its callers. */
+const MIN_REPORTED_UTILIZATION = 0.8;
+const PERCENT = 100;
+
+/** What the event loop did in a while. */
+interface LoadCounts {
+  accepted: number;
+  /** Connections that ended before a request was read from them. */
+  leftUnread: number;
+  /** Requests that were the first of their connection. */
+  firstRequests: number;
+  laterRequests: number;
+  /** Requests whose callers left before they were begun. */
+  leftWaiting: number;
+}
+
+/** Dependencies of an {@link IngressLoad}. */
+export interface IngressLoadOptions {
+  clock: Clock;
+  logger: Logger;
+  countConnection: (event: ConnectionEvent) => void;
+  countWaiting: () => number;
+}
+
+/** What happened to a caller's connection. */
+export enum ConnectionEvent {
+  Accepted = "accepted",
+  /** It ended before a request was read from it. */
+  LeftUnread = "leftUnread",
+}
+
+/**
+ * Counts connections and requests, and logs the counts each second in which the
+ * event loop is hardly idle. Connections of callers that have left, among those
+ * accepted, show that connections wait longer than callers do.
+ */
+export class IngressLoad {
+  readonly #options: IngressLoadOptions;
+  readonly #requests = new WeakMap<Socket, number>();
+  #counts = createCounts();
+  #open = 0;
+  #utilization: EventLoopUtilization = performance.eventLoopUtilization();
+  #turns = readTurns();
+
+  constructor(options: IngressLoadOptions) {
+    this.#options = options;
+  }
+
+  /** Counts a connection that was accepted. */
+  recordConnection(socket: Socket): void {
+    const { countConnection } = this.#options;
+    this.#counts.accepted++;
+    this.#open++;
+    countConnection(ConnectionEvent.Accepted);
+    socket.once("close", () => {
+      this.#open--;
+      if (!this.#requests.has(socket)) {
+        this.#counts.leftUnread++;
+        countConnection(ConnectionEvent.LeftUnread);
+      }
+    });
+  }
+
+  /** Counts a request whose head was read. */
+  recordRequest(socket: Socket): void {
+    const earlier = this.#requests.get(socket) ?? 0;
+    this.#requests.set(socket, earlier + 1);
+    if (earlier === 0) {
+      this.#counts.firstRequests++;
+    } else {
+      this.#counts.laterRequests++;
+    }
+  }
+
+  /** Counts a request whose caller left before it was begun. */
+  recordLeftWaiting(): void {
+    this.#counts.leftWaiting++;
+  }
+
+  /** Logs the load each second until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      await clock.sleep(REPORT_INTERVAL_MILLISECONDS, signal);
+      this.#report();
+    }
+  }
+
+  #report(): void {
+    const utilization = performance.eventLoopUtilization();
+    const { active, idle } = performance.eventLoopUtilization(
+      utilization,
+      this.#utilization,
+    );
+    const turns = readTurns();
+    const fraction = active / Math.max(1, active + idle);
+    if (fraction >= MIN_REPORTED_UTILIZATION) {
+      this.#options.logger.info("the event loop is busy", {
+        ...this.#counts,
+        open: this.#open,
+        waiting: this.#options.countWaiting(),
+        utilizationPercent: Math.round(fraction * PERCENT),
+        activeMilliseconds: Math.round(active),
+        turns: turns - this.#turns,
+      });
+    }
+    this.#counts = createCounts();
+    this.#utilization = utilization;
+    this.#turns = turns;
+  }
+}
+
+function createCounts(): LoadCounts {
+  return {
+    accepted: 0,
+    leftUnread: 0,
+    firstRequests: 0,
+    laterRequests: 0,
+    leftWaiting: 0,
+  };
+}
+
+/** Reads the number of turns of the event loop; 0 where Node.js has none. */
+function readTurns(): number {
+  const { nodeTiming } = performance as unknown as {
+    nodeTiming: { uvMetricsInfo?: { loopCount: number } };
+  };
+  return nodeTiming.uvMetricsInfo?.loopCount ?? 0;
+}
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -13,6 +13,7 @@
 import type { CallerLimits } from "../model/route.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
+import { type ConnectionEvent, IngressLoad } from "./ingress_load.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -80,6 +81,7 @@
     lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
+  countConnection: (event: ConnectionEvent) => void;
   /** Records the length of a turn of the event loop, in milliseconds. */
   recordTurn: (milliseconds: number) => void;
 }
@@ -89,6 +91,7 @@
   readonly #options: IngressServerOptions;
   readonly #server: Server;
   readonly #intake: IntakeQueue;
+  readonly #load: IngressLoad;
   #active = 0;
   /** Keep-alive connections may still deliver requests afterwards. */
   #hasStoppedAccepting = false;
@@ -99,11 +102,18 @@
       ...options,
       maxWaitingPerOrganisation: MAX_INTAKE_PER_ORGANISATION,
     });
+    this.#load = new IngressLoad({
+      ...options,
+      countWaiting: () => this.#intake.waiting,
+    });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
+    this.#server.on("connection", (socket) => {
+      this.#load.recordConnection(socket);
+    });
   }
 
   /** The number of requests that are not answered yet. */
@@ -111,6 +121,11 @@
     return this.#active;
   }
 
+  /** Reports how the event loop keeps up until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#load.run(signal);
+  }
+
   /** Listens until the signal aborts; rejects when the port is in use. */
   async start(signal: AbortSignal): Promise<void> {
     const { host, port } = this.#options;
@@ -138,6 +153,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const receivedAt = this.#options.clock.now();
+    this.#load.recordRequest(request.socket);
     const answer = new CallerAnswer(response, this.#options.isLeaving);
     const lifetime = new AbortController();
     this.#active++;
@@ -180,6 +196,7 @@
     const organisation = received.value.organisation?.name;
     const mayBegin = await this.#intake.wait(organisation, signal);
     if (signal.aborted) {
+      this.#load.recordLeftWaiting();
       return;
     }
     if (!mayBegin) {
--- a/packages/forwarding/src/ingress/intake_queue.ts
+++ b/packages/forwarding/src/ingress/intake_queue.ts
@@ -48,6 +48,15 @@
     this.#options = options;
   }
 
+  /** The number of requests that wait. */
+  get waiting(): number {
+    let waiting = 0;
+    for (const entries of this.#waiting.values()) {
+      waiting += entries.length;
+    }
+    return waiting;
+  }
+
   /**
    * Waits until a request may begin. Resolves to false when too many requests
    * of its organisation wait, or when the signal aborts.
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -55,6 +55,7 @@
   readonly #attempts: Counter<"service" | "outcome">;
   readonly #leavingResponses: Counter<"service" | "registered">;
   readonly #rejections: Counter<"reason">;
+  readonly #connections: Counter<"event">;
   readonly #durations: Histogram<"service">;
   readonly #firstBytes: Histogram<"service">;
   readonly #turns: Histogram;
@@ -86,6 +87,12 @@
       labelNames: ["reason"],
       registers,
     });
+    this.#connections = new Counter({
+      name: "rattanvane_forwarding_connections_total",
+      help: "Callers' connections, by what happened to them.",
+      labelNames: ["event"],
+      registers,
+    });
     this.#durations = new Histogram({
       name: "rattanvane_forwarding_request_seconds",
       help: "The time from a request's head to its end.",
@@ -145,6 +152,11 @@
     this.#rejections.inc({ reason });
   }
 
+  /** Counts a connection that was accepted, or that ended unread. */
+  recordConnection(event: string): void {
+    this.#connections.inc({ event });
+  }
+
   /** Records the length of a turn of the event loop, in milliseconds. */
   recordTurn(milliseconds: number): void {
     this.#turns.observe(milliseconds / MILLISECONDS_PER_SECOND);
