Show that a VM pressed by kept connections answers no new ones

The test presses one VM with 240 callers that keep their connections and send again when they are answered, and opens 300 connections a second beside them. The bound is half: a VM that is ready has to serve most of those that it takes.

--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -5,6 +5,7 @@
   countEstablishedConnections,
   runDepartingCallers,
 } from "../testing/departing_callers.ts";
+import { runPressingCallers } from "../testing/pressing_callers.ts";
 import { RouterHarness, sendValidResponse } from "../testing/router_harness.ts";
 
 const CALLERS = 20;
@@ -29,21 +30,31 @@
     const first = await harness.send(router);
     expect(first.status).to.equal(200);
     const { host, port } = router.settings.callers;
-    const requests = Array.from({ length: CALLERS }, (_, index) =>
-      [
-        "POST /a/x HTTP/1.1",
-        "Host: one.example",
-        "X-Key: key-1",
-        `X-Request: departed-${index}`,
-        "Content-Length: 4",
-        "",
-        "body",
-      ].join("\r\n"));
+    const requests = Array.from(
+      { length: CALLERS },
+      (_, index) => buildRequest(`departed-${index}`),
+    );
     await runDepartingCallers({ host, port, requests });
     await new Promise((resolve) => setTimeout(resolve, SETTLING_MILLISECONDS));
     expect(harness.receivedRequests).to.have.lengthOf(1);
   });
 
+  it("answers new connections while kept ones press it with requests", async () => {
+    await harness.startEndpoint("e1", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const { tried, answered } = await runPressingCallers({
+      ...router.settings.callers,
+      request: buildRequest("pressing"),
+      keptCallers: 240,
+      retryMilliseconds: 300,
+      newPerSecond: 300,
+      patienceMilliseconds: 1_000,
+      warmUpMilliseconds: 2_000,
+      milliseconds: 5_000,
+    });
+    expect(answered / tried).to.be.at.least(0.5);
+  });
+
   it("keeps few connections that it does not accept", async () => {
     const router = await harness.startReadyRouter();
     const established = await countEstablishedConnections({
@@ -54,3 +65,15 @@
     expect(established).to.be.within(1, MAX_QUEUED_CONNECTIONS);
   });
 });
+
+function buildRequest(id: string): string {
+  return [
+    "POST /a/x HTTP/1.1",
+    "Host: one.example",
+    "X-Key: key-1",
+    `X-Request: ${id}`,
+    "Content-Length: 4",
+    "",
+    "body",
+  ].join("\r\n");
+}
