Begin fewer requests while connections wait, and bound the open ones

What callers saw: still no connection.

Cause: the time in which a request is begun is a small part of what it costs later (its grant, its stream, its end), so a share of time does not bound the load.

Change: the number of requests begun after accepting follows the kernel's queue: halved, to 8 at least, when connections still wait after 100 ms, and grown by half with each turn that accepts none.

--- a/packages/forwarding/src/ingress/ingress_load.ts
+++ b/packages/forwarding/src/ingress/ingress_load.ts
@@ -16,6 +16,8 @@
   accepted: number;
   /** Connections that ended before a request was read from them. */
   leftUnread: number;
+  /** Connections that were closed unread, since too many were open. */
+  dropped: number;
   /** Requests that were the first of their connection. */
   firstRequests: number;
   laterRequests: number;
@@ -36,6 +38,8 @@
   Accepted = "accepted",
   /** It ended before a request was read from it. */
   LeftUnread = "leftUnread",
+  /** It was closed unread, since too many were open. */
+  Dropped = "dropped",
 }
 
 /**
@@ -56,6 +60,11 @@
     this.#options = options;
   }
 
+  /** The number of connections that are open. */
+  get openConnections(): number {
+    return this.#open;
+  }
+
   /** Counts a connection that was accepted. */
   recordConnection(socket: Socket): void {
     const { countConnection } = this.#options;
@@ -71,6 +80,12 @@
     });
   }
 
+  /** Counts a connection that was closed unread. */
+  recordDrop(): void {
+    this.#counts.dropped++;
+    this.#options.countConnection(ConnectionEvent.Dropped);
+  }
+
   /** Counts a request whose head was read. */
   recordRequest(socket: Socket): void {
     const earlier = this.#requests.get(socket) ?? 0;
@@ -141,6 +156,7 @@
   return {
     accepted: 0,
     leftUnread: 0,
+    dropped: 0,
     firstRequests: 0,
     laterRequests: 0,
     leftWaiting: 0,
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -25,6 +25,10 @@
  * busy VM until their callers have given up, and those behind them as well.
  */
 const LISTEN_BACKLOG = 128;
+/** With more connections, each is closed after its next answer. */
+const MAX_KEPT_CONNECTIONS = 2_500;
+/** More are closed unread; descriptors are left for endpoints and peers. */
+const MAX_CONNECTIONS = 3_200;
 /** Bounds the memory of requests that were read and not begun. */
 const MAX_INTAKE_PER_ORGANISATION = 100;
 
@@ -113,6 +117,8 @@
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
+    this.#server.maxConnections = MAX_CONNECTIONS;
+    this.#server.on("drop", () => this.#load.recordDrop());
     this.#server.on("connection", (socket) => {
       this.#intake.recordConnection();
       this.#load.recordConnection(socket);
@@ -157,7 +163,7 @@
   ): Promise<void> {
     const receivedAt = this.#options.clock.now();
     this.#load.recordRequest(request.socket);
-    const answer = new CallerAnswer(response, this.#options.isLeaving);
+    const answer = new CallerAnswer(response, () => this.#shouldClose());
     this.#active++;
     response.once("close", () => this.#active--);
     const rejection = this.#findEarlyRejection(request);
@@ -177,6 +183,11 @@
     }
   }
 
+  #shouldClose(): boolean {
+    return this.#options.isLeaving() ||
+      this.#load.openConnections > MAX_KEPT_CONNECTIONS;
+  }
+
   /** A busy VM spends as little time as possible on what it rejects. */
   #findEarlyRejection(request: IncomingMessage): RejectionKind | undefined {
     if (this.#hasStoppedAccepting) {
--- a/packages/forwarding/src/ingress/intake_queue.ts
+++ b/packages/forwarding/src/ingress/intake_queue.ts
@@ -19,8 +19,11 @@
 const MAX_ACCEPTED_IN_ROW = 64;
 /** The longest time for that. */
 const MAX_ACCEPT_MILLISECONDS = 100;
-/** The budget after connections were accepted, as a fraction of that time. */
-const ACCEPT_TIME_BUDGET_FRACTION = 0.25;
+/** Requests that are begun then, however many connections wait. */
+const MIN_BEGUN = 8;
+const MAX_BEGUN = 1_000;
+/** Growth of the limit with each turn that accepts no connection. */
+const BEGUN_GROWTH_FACTOR = 1.5;
 /** While a request of an organisation waits for this long, others are refused. */
 const MAX_QUEUE_MILLISECONDS = 100;
 /** Requests that waited for this long are refused in place of being begun. */
@@ -63,6 +66,10 @@
   /** Turns in a row that accepted a connection and began no request. */
   #acceptingTurns = 0;
   #lastBegunAt = -Infinity;
+  /** The number of requests that were begun then. */
+  #lastBegun = 0;
+  /** How many requests may be begun in a turn. */
+  #maxBegun = MAX_BEGUN;
 
   constructor(options: IntakeQueueOptions) {
     this.#options = options;
@@ -143,45 +150,49 @@
   #shouldAcceptFirst(now: number): boolean {
     const hasAccepted = this.#hasAccepted;
     this.#hasAccepted = false;
-    if (
-      hasAccepted && this.#acceptingTurns < MAX_ACCEPTED_IN_ROW &&
-      now - this.#lastBegunAt < MAX_ACCEPT_MILLISECONDS
-    ) {
+    if (!hasAccepted) {
+      this.#maxBegun = Math.min(
+        MAX_BEGUN,
+        this.#maxBegun * BEGUN_GROWTH_FACTOR,
+      );
+      return false;
+    }
+    const isDue = this.#acceptingTurns < MAX_ACCEPTED_IN_ROW &&
+      now - this.#lastBegunAt < MAX_ACCEPT_MILLISECONDS;
+    if (isDue) {
       this.#acceptingTurns++;
       return true;
     }
+    this.#maxBegun = Math.max(
+      MIN_BEGUN,
+      Math.min(this.#maxBegun, this.#lastBegun) / 2,
+    );
     return false;
   }
 
   async #beginWithinBudget(startedAt: number): Promise<void> {
     const { clock } = this.#options;
-    const budget = this.#computeBudget(startedAt);
     this.#acceptingTurns = 0;
-    for (;;) {
+    let begun = 0;
+    while (begun < this.#maxBegun) {
       const entry = this.#takeFromNextOrganisation();
       if (entry === undefined) {
         break;
       }
+      begun++;
       entry.admission.resolve(
         clock.now() - entry.addedAt <= MAX_WAIT_MILLISECONDS,
       );
       // Lets the request go as far as it can without waiting.
       await new Promise<void>((resolve) => nextTick(resolve));
-      if (clock.now() - startedAt >= budget) {
+      if (clock.now() - startedAt >= TURN_BUDGET_MILLISECONDS) {
         break;
       }
     }
+    this.#lastBegun = begun;
     this.#lastBegunAt = clock.now();
   }
 
-  #computeBudget(now: number): number {
-    const acceptTime = now - this.#lastBegunAt;
-    return this.#acceptingTurns === 0 ? TURN_BUDGET_MILLISECONDS : Math.min(
-      TURN_BUDGET_MILLISECONDS,
-      acceptTime * ACCEPT_TIME_BUDGET_FRACTION,
-    );
-  }
-
   #takeFromNextOrganisation(): IntakeEntry | undefined {
     for (const [organisation, entries] of this.#waiting) {
       const entry = this.#takeNext(entries);
