Show that a limit that an endpoint states is not kept

What callers saw: nothing yet; announced: an endpoint in need names the requests a second that it takes from all VMs together (LIMIT).

The test: one endpoint states 5 requests a second, another none; eight callers send one request after the other for 4 s. The bound is that of the rule, one and a half times what the limit allows in 4 s and 5 more: 35 from 0.5 s after the first statement.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -28,6 +28,11 @@
   "HTTP/1.0 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
 ];
 
+const LIMIT_PER_SECOND = 5;
+/** A VM that has passed on a limit keeps to it after this time. */
+const LIMIT_NOTICE_MILLISECONDS = 500;
+const LIMIT_WINDOW_MILLISECONDS = 4_000;
+
 let harness = new RouterHarness();
 
 function applyRoute(changes: Partial<ForwardingRoute>): void {
@@ -628,4 +633,34 @@
     expect(harness.receivedRequests).to.have.lengthOf(count);
     expect(count).to.be.at.most(5);
   });
+
+  it("sends an endpoint that states a limit no more than it takes", async () => {
+    applyRoute({});
+    let limitedAt = Infinity;
+    let counted = 0;
+    const endsAt = performance.now() + LIMIT_WINDOW_MILLISECONDS;
+    await harness.startEndpoint("e1", ({ request }, response) => {
+      const now = performance.now();
+      limitedAt = Math.min(limitedAt, now);
+      counted += now - limitedAt >= LIMIT_NOTICE_MILLISECONDS ? 1 : 0;
+      response.writeHead(200, {
+        "x-seal": "seal-of-e1",
+        "x-request": String(request.headers["x-request"]),
+        "x-limit": String(LIMIT_PER_SECOND),
+      });
+      response.end("answer of e1");
+    });
+    await harness.startEndpoint("e2", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const callers = Array.from({ length: 8 }, async () => {
+      while (performance.now() < endsAt) {
+        await harness.send(router);
+      }
+    });
+    await Promise.all(callers);
+    expect(counted).to.be.at.most(
+      1.5 * LIMIT_PER_SECOND * LIMIT_WINDOW_MILLISECONDS / 1_000 + 5,
+    );
+    expect(counted).to.be.at.least(2);
+  });
 });
