Keep the limits that endpoints state, divided among the VMs that schedule

An endpoint in need got many times the requests a second that it named.

Cause: no VM read the limit. The class: a bound on the sum over all VMs that belongs to nobody; cold endpoints and retries have the same shape, and their bounds are divided already.

Change: the last statement of an endpoint's process holds, whichever VM read it (`EndpointLimits`): a member tells its scheduler, schedulers tell each other with their state. Each VM that schedules fills a token bucket with its part of the limit (`EndpointRateLimit`), from which requests, retries and health checks take; a VM cut off from the schedulers has no part. A statement that cannot be read leaves the former in force; one of an earlier process is ignored; a restart ends it. All VMs together send 0.25 a second at least, since only a response tells that a limit of zero is lifted.

Evidence: "states a limit no more": 937 and 1,293 requests before where 35 are allowed; passes now.

Not done: the headers of health checks are not read for limits.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -11,6 +11,7 @@
 import type { TableFeed } from "@rattanvane/platform";
 import {
   type EndpointDeparture,
+  type EndpointLimit,
   type ForwardingStateMessage,
   type MembershipMessage,
   type MemberSyncMessage,
@@ -32,6 +33,7 @@
 import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
 import type { ShareMeter } from "../scheduling/share_meter.ts";
 import type { CrashTracker } from "../state/crash_tracker.ts";
+import type { EndpointLimits } from "../state/endpoint_limits.ts";
 import type { FleetState } from "../state/fleet_state.ts";
 import { hashSchedulers, MemberSync } from "./member_sync.ts";
 import { MembershipGossip } from "./membership_gossip.ts";
@@ -76,6 +78,7 @@
   crashes: CrashTracker;
   shares: ShareMeter;
   state: FleetState;
+  limits: EndpointLimits;
   /** Decides on requests that this VM schedules. */
   localAdmission: Admission;
   /** Whether an endpoint asked this VM to send nothing for now. */
@@ -198,7 +201,7 @@
 
   /** Listens for other VMs; throws when the port is in use. */
   async start(signal: AbortSignal): Promise<void> {
-    const { state } = this.#options;
+    const { state, limits } = this.#options;
     this.updateSeeds(this.#options.settings.seeds);
     this.#roles.start(signal);
     this.#tables.start(signal);
@@ -216,6 +219,10 @@
       (departure) => this.#reportDeparture(departure),
       signal,
     );
+    limits.changes.listen(
+      (limit) => this.#reportLimit(limit),
+      signal,
+    );
     this.#selector.losses.listen(
       (vm) => this.#membership.checkSilentVm(vm),
       signal,
@@ -347,6 +354,7 @@
       configuration: state.configuration,
       endpoints: state.endpoints,
       directory: state.directory,
+      limits: this.#options.limits,
       tables: this.#tables,
       isScheduler: () => this.#roles.isScheduler,
       roleChanges: this.#roles.changes,
@@ -369,6 +377,8 @@
         return this.#mergeState(from, message);
       case MessageKind.EndpointDeparture:
         return this.#options.state.directory.recordDeparture(message);
+      case MessageKind.EndpointLimit:
+        return this.#options.limits.record(message);
       case MessageKind.ZoneSchedulers:
         return this.#directory.recordZone(
           message.schedulers[0]?.zone ?? "",
@@ -411,6 +421,15 @@
     }
   }
 
+  /** Schedulers exchange limits with their state. */
+  #reportLimit(limit: EndpointLimit): void {
+    const scheduler = this.#selector.current;
+    if (scheduler !== undefined) {
+      const kind = MessageKind.EndpointLimit;
+      this.#network.send(scheduler, { kind, ...limit });
+    }
+  }
+
   #mergeState(from: VmId, message: ForwardingStateMessage): void {
     const { schedulers, zoneVms } = message;
     const sender = schedulers?.find(({ vm }) => vm === from);
--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -17,6 +17,7 @@
 } from "@rattanvane/protocol";
 import type { CrashTracker } from "../state/crash_tracker.ts";
 import type { EndpointDirectory } from "../state/endpoint_directory.ts";
+import type { EndpointLimits } from "../state/endpoint_limits.ts";
 import type { ClockReading } from "../state/freshness.ts";
 import type { TableReplica } from "../state/table_replica.ts";
 import type { ServiceScheduler } from "../scheduling/service_scheduler.ts";
@@ -61,6 +62,7 @@
   configuration: TableReplica;
   endpoints: TableReplica;
   directory: EndpointDirectory;
+  limits: EndpointLimits;
   tables: TableDistributor;
   /** Whether this VM is a scheduler; others send and merge no state. */
   isScheduler: () => boolean;
@@ -168,6 +170,9 @@
     for (const departure of message.departures ?? []) {
       this.#options.directory.recordDeparture(departure);
     }
+    for (const limit of message.limits ?? []) {
+      this.#options.limits.record(limit);
+    }
     this.#mergeAges(from, message);
   }
 
@@ -214,6 +219,7 @@
     }
     const { crashes, soundParts } = this.#options.crashes.listReports();
     const departures = this.#options.directory.listDepartures();
+    const limits = this.#options.limits.list();
     const configurationAge = buildAge(configuration);
     const registrations = buildAge(this.#options.endpoints);
     return {
@@ -229,6 +235,7 @@
       ...(crashes.length === 0 ? {} : { crashes }),
       ...(soundParts.length === 0 ? {} : { soundParts }),
       ...(departures.length === 0 ? {} : { departures }),
+      ...(limits.length === 0 ? {} : { limits }),
       ...(configurationAge === undefined
         ? {}
         : { configuration: configurationAge }),
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -1,4 +1,5 @@
 import {
+  createLifetime,
   createSilentLogger,
   Emitter,
   ManualClock,
@@ -16,6 +17,7 @@
 import { describe, it } from "mocha";
 import { CrashTracker } from "../state/crash_tracker.ts";
 import { EndpointDirectory } from "../state/endpoint_directory.ts";
+import { EndpointLimits } from "../state/endpoint_limits.ts";
 import { TableReplica } from "../state/table_replica.ts";
 import { ShareMeter } from "../scheduling/share_meter.ts";
 import { buildEndpoint } from "../testing/fixtures.ts";
@@ -73,9 +75,14 @@
     clock,
     logger: createSilentLogger(),
   });
+  const limits = new EndpointLimits(
+    { clock, logger: createSilentLogger(), directory },
+    createLifetime().signal,
+  );
   const exchange = new StateExchange({
     sender,
     directory,
+    limits,
     clock,
     logger: createSilentLogger(),
     suspects,
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -13,6 +13,7 @@
 import type { VmContact } from "@rattanvane/protocol";
 import { LocalAdmission } from "./admission/local_admission.ts";
 import { CrashTracker } from "./state/crash_tracker.ts";
+import { EndpointLimits } from "./state/endpoint_limits.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { RowDecoder } from "./state/row_decoder.ts";
 import type { ForwardingSettings } from "./forwarding_settings.ts";
@@ -77,6 +78,7 @@
   readonly #crashes: CrashTracker;
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
+  readonly #limits: EndpointLimits;
   readonly #pauses: EndpointPauses;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
@@ -115,6 +117,11 @@
       isPolling: () => this.#fleet.isFollower,
     });
     this.#transport = new EndpointTransport(settings.callers.host, signal);
+    this.#limits = new EndpointLimits({
+      clock,
+      logger: logger.forPart("beliefs"),
+      directory: this.#state.directory,
+    }, signal);
     this.#pauses = new EndpointPauses({
       clock,
       logger: logger.forPart("scheduler"),
@@ -127,6 +134,7 @@
       notifyPeers: () => this.#fleet.sendSoon(),
       bounds,
       directory: this.#state.directory,
+      limits: this.#limits,
       shares: this.#shares,
       crashes: this.#crashes,
       countVms: () => this.#fleet.countLimitSharers(),
@@ -150,6 +158,7 @@
       crashes: this.#crashes,
       shares: this.#shares,
       state: this.#state,
+      limits: this.#limits,
       localAdmission: new LocalAdmission({
         clock,
         shares: this.#shares,
@@ -316,6 +325,7 @@
       metrics: this.#metrics,
       admission: this.#fleet.admission,
       directory: this.#state.directory,
+      limits: this.#limits,
       pauses: this.#pauses,
       countVms: () => this.#fleet.countVms(),
     }, {
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -43,6 +43,8 @@
   onAnswering: () => void;
   /** Called when the response announces the shutdown of the endpoint. */
   onLeaving: () => void;
+  /** Called with the requests a second that the endpoint states; or none. */
+  onLimit: (requestsPerSecond: number | undefined) => void;
   /** Called when the endpoint refuses the request and asks for a pause. */
   onPaused: (milliseconds: number) => void;
 }
@@ -190,6 +192,7 @@
     if (this.#isLeaving) {
       this.#options.onLeaving();
     }
+    this.#readLimit(status, marks);
     const isRefusal = status === STATUS_UNAVAILABLE &&
       (marks.isNotRun || marks.isSealed);
     if (isRefusal && marks.retryAfterMilliseconds !== undefined) {
@@ -197,6 +200,17 @@
     }
   }
 
+  /** A statement that cannot be read leaves the former one in force. */
+  #readLimit(status: number, marks: AnswerMetadata): void {
+    const { requestsPerSecond } = marks;
+    const isOwn = status !== STATUS_WRONG_INSTANCE &&
+      (marks.isSealed || marks.isNotRun);
+    if (isOwn && requestsPerSecond !== undefined) {
+      const isLimited = Number.isFinite(requestsPerSecond);
+      this.#options.onLimit(isLimited ? requestsPerSecond : undefined);
+    }
+  }
+
   #relayEvents(chunk: Uint8Array): void {
     const { answer, splitter } = this.#options;
     const events = splitter.split(chunk);
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -11,6 +11,7 @@
 import type { RetryAllowance } from "../scheduling/retry_allowance.ts";
 import { type Refusal, RefusalKind } from "../scheduling/refusal.ts";
 import type { EndpointDirectory } from "../state/endpoint_directory.ts";
+import type { EndpointLimits } from "../state/endpoint_limits.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
@@ -33,6 +34,7 @@
   metrics: ForwardingMetrics;
   admission: Admission;
   directory: EndpointDirectory;
+  limits: EndpointLimits;
   pauses: EndpointPauses;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
@@ -127,7 +129,7 @@
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
     const { call, answer } = this.#options;
-    const { directory, pauses } = this.#environment;
+    const { directory, limits, pauses } = this.#environment;
     const endpoint = grant.endpoint.id;
     const startedAtUnixMilliseconds = directory.find(endpoint)
       ?.startedAtUnixMilliseconds;
@@ -141,6 +143,13 @@
       onAnswering: () => grant.recordAnswerStart(),
       onLeaving: () =>
         directory.recordDeparture({ endpoint, startedAtUnixMilliseconds }),
+      onLimit: (requestsPerSecond) =>
+        limits.record({
+          endpoint,
+          startedAtUnixMilliseconds,
+          requestsPerSecond,
+          ageMilliseconds: 0,
+        }),
       onPaused: (milliseconds) =>
         pauses.record({ endpoint, service: call.service, milliseconds }),
     });
--- a/packages/forwarding/src/model/dialect.ts
+++ b/packages/forwarding/src/model/dialect.ts
@@ -38,6 +38,11 @@
   load: ReportedLoad | undefined;
   /** For how long the endpoint wants no request from this VM. */
   retryAfterMilliseconds: number | undefined;
+  /**
+   * The requests a second that the endpoint takes from all VMs together;
+   * infinite if it states no limit, undefined if its limit cannot be read.
+   */
+  requestsPerSecond: number | undefined;
 }
 
 /** Reads and writes the request and response headers of one deployment. */
--- a/packages/forwarding/src/scheduling/endpoint_prober.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober.ts
@@ -62,7 +62,7 @@
   #probeDownEndpoints(service: ProbedService, signal: AbortSignal): void {
     for (const endpoint of service.scheduler.listEndpoints()) {
       const isDue = endpoint.isOpen && endpoint.coldStart.isDown &&
-        !this.#pendingProbes.has(endpoint);
+        endpoint.hasRateCapacity && !this.#pendingProbes.has(endpoint);
       if (isDue) {
         this.#pendingProbes.add(endpoint);
         void this.#probe(endpoint, service, signal).finally(() =>
@@ -79,7 +79,7 @@
   ): Promise<void> {
     const { clock, logger, checkHealth } = this.#options;
     const sentAt = clock.now();
-    endpoint.coldStart.recordArrival();
+    endpoint.recordArrival();
     const probeSignal = AbortSignal.any([
       signal,
       AbortSignal.timeout(PROBE_TIMEOUT_MILLISECONDS),
--- a/packages/forwarding/src/scheduling/endpoint_state.ts
+++ b/packages/forwarding/src/scheduling/endpoint_state.ts
@@ -4,6 +4,7 @@
 import type { EndpointUse, VmId } from "@rattanvane/protocol";
 import type { EndpointRecord } from "../model/endpoint_record.ts";
 import { ColdStartGuard } from "./cold_start_guard.ts";
+import type { EndpointRateLimit } from "./endpoint_rate_limit.ts";
 import type { PrefillWork } from "./prefill_model.ts";
 import { PromptCacheMap } from "./prompt_cache_map.ts";
 
@@ -52,6 +53,8 @@
 export class EndpointState {
   /** Whether the endpoint is down or cold, and the limit that applies then. */
   readonly coldStart: ColdStartGuard;
+  /** The limit that the endpoint states for itself. */
+  readonly rateLimit: EndpointRateLimit | undefined;
   /** The prompt parts that the endpoint probably has in its cache. */
   readonly cache = new PromptCacheMap();
   /** A hash of the endpoint's id, by which prompt parts are assigned to it. */
@@ -73,8 +76,14 @@
   #pendingTokens = 0;
   #pendingPairs = 0;
 
-  constructor(record: EndpointRecord, clock: Clock) {
+  /** @param rateLimit undefined in tests without limits */
+  constructor(
+    record: EndpointRecord,
+    clock: Clock,
+    rateLimit?: EndpointRateLimit,
+  ) {
     this.record = record;
+    this.rateLimit = rateLimit;
     this.idHash = hashText(record.id);
     this.#clock = clock;
     this.coldStart = new ColdStartGuard(clock);
@@ -105,6 +114,17 @@
     };
   }
 
+  /** Whether the endpoint's own limit allows one more request of this VM. */
+  get hasRateCapacity(): boolean {
+    return this.rateLimit?.hasCapacity() ?? true;
+  }
+
+  /** Records a request that is sent now, a health check as well. */
+  recordArrival(): void {
+    this.coldStart.recordArrival();
+    this.rateLimit?.recordArrival();
+  }
+
   /** Moving average of the failures among recent attempts, 0 to 1. */
   get failureRate(): number {
     return this.#failureRate;
@@ -121,7 +141,7 @@
     this.#activeAttempts.add(attempt);
     this.#pendingTokens += work.tokens;
     this.#pendingPairs += work.pairs;
-    this.coldStart.recordArrival();
+    this.recordArrival();
     return attempt;
   }
 
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -224,7 +224,8 @@
   }
 
   #hasFreeSlot({ limits }: Query, endpoint: EndpointState): boolean {
-    return endpoint.running < this.#capacity.slots * limits.slotFraction;
+    return endpoint.hasRateCapacity &&
+      endpoint.running < this.#capacity.slots * limits.slotFraction;
   }
 
   #hasCapacity(query: Query, evaluation: Evaluation): boolean {
--- a/packages/forwarding/src/scheduling/plain_chooser.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser.ts
@@ -31,8 +31,9 @@
   }
 }
 
-function hasCapacity({ record, running }: EndpointState): boolean {
-  return running < record.slots * (1 + QUEUE_FRACTION);
+function hasCapacity(endpoint: EndpointState): boolean {
+  const { record, running, hasRateCapacity } = endpoint;
+  return hasRateCapacity && running < record.slots * (1 + QUEUE_FRACTION);
 }
 
 function pickLeastLoaded(
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -18,6 +18,7 @@
   type EndpointRestrictions,
   NoCapacityReason,
 } from "./endpoint_chooser.ts";
+import { EndpointRateLimit } from "./endpoint_rate_limit.ts";
 import { EndpointState, type LocalAttempt } from "./endpoint_state.ts";
 import { type Refusal, RefusalKind } from "./refusal.ts";
 import { RefusalPolicy } from "./refusal_policy.ts";
@@ -179,13 +180,21 @@
       this.#processQueue();
       return known;
     }
-    const created = new EndpointState(record, this.#options.clock);
+    const { clock } = this.#options;
+    const rateLimit = new EndpointRateLimit(this.#options);
+    const created = new EndpointState(record, clock, rateLimit);
     created.isOpen = isOpen;
     this.#endpoints.set(record.id, created);
     this.#processQueue();
     return created;
   }
 
+  /** Applies the limit that an endpoint states; undefined for none. */
+  updateRateLimit(id: string, requestsPerSecond: number | undefined): void {
+    this.#endpoints.get(id)?.rateLimit?.update(requestsPerSecond);
+    this.#processQueue();
+  }
+
   /** Removes an endpoint; attempts that run there are not affected. */
   removeEndpoint(id: string): void {
     this.#endpoints.delete(id);
--- a/packages/forwarding/src/service_registry.ts
+++ b/packages/forwarding/src/service_registry.ts
@@ -8,6 +8,7 @@
   DirectoryChangeKind,
   type EndpointDirectory,
 } from "./state/endpoint_directory.ts";
+import type { EndpointLimits } from "./state/endpoint_limits.ts";
 import type { EndpointRecord } from "./model/endpoint_record.ts";
 import type { FleetBounds } from "./forwarding_settings.ts";
 import type {
@@ -45,6 +46,7 @@
   notifyPeers: () => void;
   bounds: FleetBounds;
   directory: EndpointDirectory;
+  limits: EndpointLimits;
   shares: ShareMeter;
   crashes: CrashTracker;
   /** Number of VMs that share the fleet's bounds. */
@@ -66,6 +68,10 @@
       (change) => this.#applyChange(change),
       signal,
     );
+    options.limits.changes.listen(
+      ({ endpoint }) => this.#applyLimit(endpoint),
+      signal,
+    );
   }
 
   find(service: ServiceId): ServiceRuntime | undefined {
@@ -129,8 +135,17 @@
     }
   }
 
+  #applyLimit(endpoint: EndpointId): void {
+    const requestsPerSecond = this.#options.limits.find(endpoint);
+    for (const { scheduler } of this.#runtimes.values()) {
+      if (scheduler.findEndpoint(endpoint) !== undefined) {
+        scheduler.updateRateLimit(endpoint, requestsPerSecond);
+      }
+    }
+  }
+
   #createRuntime(service: ForwardedService): void {
-    const { clock, bounds, directory } = this.#options;
+    const { clock, bounds, directory, limits } = this.#options;
     const model = new PrefillModel(INITIAL_MILLISECONDS_PER_TOKEN);
     const scheduler = new ServiceScheduler({
       ...this.#options,
@@ -149,6 +164,7 @@
       if (record.coldMilliseconds > 0) {
         endpoint.coldStart.markCold(record.coldMilliseconds);
       }
+      scheduler.updateRateLimit(record.id, limits.find(record.id));
       scheduler.updateEndpoint(record, directory.isAvailable(record.id));
     }
   }
@@ -167,7 +183,7 @@
   }
 
   #applyChange({ kind, entry }: DirectoryChange): void {
-    const { directory, crashes, closeConnections } = this.#options;
+    const { directory, limits, crashes, closeConnections } = this.#options;
     const { record } = entry;
     const runtime = this.#runtimes.get(record.service);
     if (kind === DirectoryChangeKind.Removed) {
@@ -192,6 +208,7 @@
     if (record.coldMilliseconds > 0) {
       endpoint.coldStart.markCold(record.coldMilliseconds);
     }
+    runtime.scheduler.updateRateLimit(record.id, limits.find(record.id));
     runtime.scheduler.updateEndpoint(record, directory.isAvailable(record.id));
   }
 }
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -30,6 +30,7 @@
 import { ShareMeter } from "../scheduling/share_meter.ts";
 import { ServiceRegistry } from "../service_registry.ts";
 import { CrashTracker } from "../state/crash_tracker.ts";
+import { EndpointLimits } from "../state/endpoint_limits.ts";
 import { FleetState } from "../state/fleet_state.ts";
 import { buildConfiguration, buildEndpoint } from "./fixtures.ts";
 import { MemoryFeed } from "./memory_feed.ts";
@@ -50,6 +51,7 @@
   contact: VmContact;
   fleet: FleetControl;
   state: FleetState;
+  limits: EndpointLimits;
   services: ServiceRegistry;
   shares: ShareMeter;
   clock: FreezableClock;
@@ -224,6 +226,11 @@
       suspects,
       vm: contact.vm,
     });
+    const limits = new EndpointLimits({
+      clock,
+      logger,
+      directory: state.directory,
+    }, signal);
     const services = new ServiceRegistry({
       clock,
       random,
@@ -231,6 +238,7 @@
       notifyPeers: () => fleet.sendSoon(),
       bounds: settings.bounds,
       directory: state.directory,
+      limits,
       shares,
       crashes,
       countVms: () => fleet.countLimitSharers(),
@@ -246,6 +254,7 @@
       crashes,
       shares,
       state,
+      limits,
       localAdmission: new LocalAdmission({
         clock,
         shares,
@@ -267,6 +276,7 @@
       contact,
       fleet,
       state,
+      limits,
       services,
       shares,
       clock,
--- a/packages/forwarding/src/testing/test_dialect.ts
+++ b/packages/forwarding/src/testing/test_dialect.ts
@@ -61,6 +61,9 @@
       retryAfterMilliseconds: headers["x-retry-after"] === undefined
         ? undefined
         : Number(headers["x-retry-after"]),
+      requestsPerSecond: headers["x-limit"] === undefined
+        ? Infinity
+        : Number(headers["x-limit"]),
     };
   }
 }
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -136,6 +136,8 @@
   "sentAgeMilliseconds",
   "depth",
   "excluded",
+  "limits",
+  "requestsPerSecond",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -46,6 +46,22 @@
   kind: MessageKind.EndpointDeparture;
 }
 
+/** What an endpoint's process last stated about the requests that it takes. */
+export interface EndpointLimit {
+  endpoint: EndpointId;
+  /** Start time of the process; unset if the sender does not know it. */
+  startedAtUnixMilliseconds?: number | undefined;
+  /** Requests a second from all VMs together; unset for no limit. */
+  requestsPerSecond?: number | undefined;
+  /** Time since the statement was read. */
+  ageMilliseconds: number;
+}
+
+/** Tells a member's scheduler of an endpoint's limit. */
+export interface EndpointLimitMessage extends EndpointLimit {
+  kind: MessageKind.EndpointLimit;
+}
+
 /** A prompt part of requests without a response when an endpoint crashed. */
 export interface ReportedPart {
   part: string;
@@ -84,6 +100,8 @@
   soundParts?: SoundPart[];
   /** Registered endpoints that are about to shut down; unset for none. */
   departures?: EndpointDeparture[];
+  /** The endpoints' limits, and those that were lifted lately. */
+  limits?: EndpointLimit[];
   /** Unset until the table has been read. */
   configuration?: TableAge;
   /** The same for the endpoints' registrations. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -67,6 +67,13 @@
   startedAtUnixMilliseconds: createOptional(isNumber),
 };
 
+const LIMIT_FIELDS = {
+  endpoint: isText,
+  startedAtUnixMilliseconds: createOptional(isNumber),
+  requestsPerSecond: createOptional(isAmount),
+  ageMilliseconds: isAmount,
+};
+
 const isCrashReport = createObject({
   endpoint: isText,
   startedAtUnixMilliseconds: isNumber,
@@ -156,6 +163,7 @@
       ageMilliseconds: isAmount,
     }))),
     departures: createOptional(createList(createObject(DEPARTURE_FIELDS))),
+    limits: createOptional(createList(createObject(LIMIT_FIELDS))),
     configuration: createOptional(isTableAge),
     registrations: createOptional(isTableAge),
     schedulers: createOptional(createList(isContact)),
@@ -163,6 +171,7 @@
     zoneDigest: createOptional(isText),
   }),
   [MessageKind.EndpointDeparture]: createObject(DEPARTURE_FIELDS),
+  [MessageKind.EndpointLimit]: createObject(LIMIT_FIELDS),
   [MessageKind.RequestTable]: createObject({ table: isText }),
   [MessageKind.TableCopy]: createObject({
     table: isText,
--- a/packages/protocol/src/message_kind.ts
+++ b/packages/protocol/src/message_kind.ts
@@ -44,4 +44,5 @@
   MemberSyncReply = "memberSyncReply",
   ZoneSchedulers = "zoneSchedulers",
   EndpointDeparture = "endpointDeparture",
+  EndpointLimit = "endpointLimit",
 }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -53,6 +53,7 @@
 export type ForwardingMessage =
   | forwarding.ForwardingStateMessage
   | forwarding.EndpointDepartureMessage
+  | forwarding.EndpointLimitMessage
   | forwarding.RequestTableMessage
   | forwarding.TableCopyMessage
   | admission.TableChangesMessage
--- a/packages/router/src/host/message_switch.ts
+++ b/packages/router/src/host/message_switch.ts
@@ -58,6 +58,7 @@
         return host.handle(from, message);
       case MessageKind.ForwardingState:
       case MessageKind.EndpointDeparture:
+      case MessageKind.EndpointLimit:
       case MessageKind.RequestTable:
       case MessageKind.TableCopy:
       case MessageKind.TableChanges:
