Use no endpoint whose registration cannot be meant, and survive one that is used

Report: another writer's odd entry among those of the servers ended machines again and again, or stopped them from following the list. Here: an entry with port 99999 was taken for an endpoint. Callers got 500 "Internal error" for requests sent to it, and a health check of it was an unhandled rejection, which ends the process.

Cause: the decoder checked the shape of an address and the types of numbers, not whether they can be meant; and the transport threw where its contract is to report a failure.

A pool that cannot be created is a request that was not sent; a health check that throws is logged.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -663,4 +663,18 @@
     );
     expect(counted).to.be.at.least(2);
   });
+
+  it("answers all callers while an odd entry is among the endpoints", async () => {
+    applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
+    for (const [id, port] of [["odd-1", 99_999], ["odd-2", 0]] as const) {
+      harness.feed.put("endpoints", id, buildEndpoint(id, { port }));
+    }
+    await harness.startEndpoint("e1", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const statuses: number[] = [];
+    for (let call = 0; call < 40; call++) {
+      statuses.push((await harness.send(router)).status);
+    }
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
+  });
 });
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -96,7 +96,13 @@
   ): SentRequest {
     const handler = new AnswerHandler(receiver, this.#resetState);
     const isEmpty = request.body.length === 0;
-    this.#findOrCreatePool(address).dispatch({
+    const pool = this.#findOrCreatePool(address);
+    if (pool === undefined) {
+      const reason = `The address "${address}" cannot be connected to`;
+      receiver.fail({ kind: TransportFailureKind.NotSent, reason });
+      return handler;
+    }
+    pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
       headers: request.headers,
@@ -141,12 +147,17 @@
     queueMicrotask(() => this.#resetState.isResetting = false);
   }
 
-  #findOrCreatePool(address: string): Pool {
+  /** Returns undefined for an address to which nothing can be sent. */
+  #findOrCreatePool(address: string): Pool | undefined {
     const existing = this.#pools.get(address);
     if (existing !== undefined) {
       return existing;
     }
-    const pool = new Pool(`http://${address}`, {
+    const url = `http://${address}`;
+    if (!URL.canParse(url)) {
+      return undefined;
+    }
+    const pool = new Pool(url, {
       connect: this.#createConnector(),
       keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
--- a/packages/forwarding/src/scheduling/endpoint_prober.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober.ts
@@ -1,6 +1,6 @@
 /** Probes endpoints that are down until they are reachable again. */
 
-import type { Clock, Logger } from "@rattanvane/base";
+import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { ServiceScheduler } from "./service_scheduler.ts";
 
@@ -65,13 +65,30 @@
         endpoint.hasRateCapacity && !this.#pendingProbes.has(endpoint);
       if (isDue) {
         this.#pendingProbes.add(endpoint);
-        void this.#probe(endpoint, service, signal).finally(() =>
-          this.#pendingProbes.delete(endpoint)
-        );
+        void this.#runProbe(endpoint, service, signal);
       }
     }
   }
 
+  /** One endpoint that cannot be probed must not end the process. */
+  async #runProbe(
+    endpoint: EndpointState,
+    service: ProbedService,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      await this.#probe(endpoint, service, signal);
+    } catch (thrown) {
+      this.#options.logger.warn("an endpoint could not be probed", {
+        endpoint: endpoint.record.id,
+        zone: endpoint.record.zone,
+        reason: describeError(thrown),
+      });
+    } finally {
+      this.#pendingProbes.delete(endpoint);
+    }
+  }
+
   async #probe(
     endpoint: EndpointState,
     { scheduler, healthPath }: ProbedService,
--- a/packages/forwarding/src/scheduling/endpoint_prober_test.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober_test.ts
@@ -1,3 +1,4 @@
+import process from "node:process";
 import {
   createLifetime,
   createSilentLogger,
@@ -12,21 +13,55 @@
 import { ServiceScheduler } from "./service_scheduler.ts";
 import { ShareMeter } from "./share_meter.ts";
 
+function createScheduler(clock: ManualClock): ServiceScheduler {
+  return new ServiceScheduler({
+    service: buildService({ engine: undefined }),
+    chooser: new PlainChooser(),
+    shares: new ShareMeter({ clock, periodMilliseconds: 4_000 }),
+    clock,
+    random: new RandomSource(1),
+    logger: createSilentLogger(),
+    notifyPeers: () => {},
+    coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: 30 },
+    countVms: () => 1,
+    signal: createLifetime().signal,
+  });
+}
+
 describe("EndpointProber", () => {
-  it("probes only endpoints that are down, until they respond", async () => {
+  it("goes on when the check of one endpoint throws", async () => {
     const clock = new ManualClock();
-    const scheduler = new ServiceScheduler({
-      service: buildService({ engine: undefined }),
-      chooser: new PlainChooser(),
-      shares: new ShareMeter({ clock, periodMilliseconds: 4_000 }),
+    const scheduler = createScheduler(clock);
+    for (const id of ["odd", "down"]) {
+      scheduler.updateEndpoint(buildEndpoint(id), true).coldStart.markDown();
+    }
+    const lifetime = new AbortController();
+    const prober = new EndpointProber({
       clock,
-      random: new RandomSource(1),
       logger: createSilentLogger(),
-      notifyPeers: () => {},
-      coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: 30 },
-      countVms: () => 1,
-      signal: createLifetime().signal,
+      isScheduler: () => true,
+      listServices: () => [{ scheduler, healthPath: "/healthz" }],
+      checkHealth: ({ record }) =>
+        record.id === "odd"
+          ? Promise.reject(new Error("Invalid URL"))
+          : Promise.resolve(true),
     });
+    const rejections: unknown[] = [];
+    const record = (reason: unknown) => rejections.push(reason);
+    process.on("unhandledRejection", record);
+    const running = prober.run(lifetime.signal);
+    await clock.advance(1_000);
+    expect(scheduler.findEndpoint("down")?.coldStart.isDown).to.equal(false);
+    lifetime.abort();
+    await clock.advance(1_000);
+    await running;
+    process.off("unhandledRejection", record);
+    expect(rejections).to.deep.equal([]);
+  });
+
+  it("probes only endpoints that are down, until they respond", async () => {
+    const clock = new ManualClock();
+    const scheduler = createScheduler(clock);
     const down = scheduler.updateEndpoint(buildEndpoint("down"), true);
     scheduler.updateEndpoint(buildEndpoint("up"), true);
     down.coldStart.markDown();
