Begin no request that is not expected to end before its VM does

Report: in a planned stop of one VM, requests that came late in the grace were passed on and cut at its end with no answer, among them some that may not be repeated. It happens here: a request that comes while the load balancer still sends some, or that has waited for a scheduler meanwhile, was begun whatever was left.

It is judged when it is read and again when it is granted an endpoint. A request that has run already, such as a stream that goes on elsewhere, is not turned away.

A request that takes far longer than others of its route may still be cut.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -23,6 +23,7 @@
 import { ForwardRun } from "./ingress/forward_run.ts";
 import { readHealth } from "./ingress/health_check.ts";
 import { IngressServer } from "./ingress/ingress_server.ts";
+import { RunDurations } from "./ingress/run_durations.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
 import type { ForwardedCall } from "./model/call.ts";
@@ -83,7 +84,10 @@
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
+  readonly #durations = new RunDurations();
   #phase = RouterPhase.Starting;
+  /** When running requests are aborted. */
+  #endsAt = Infinity;
 
   constructor(options: ForwardingRouterOptions) {
     this.#options = options;
@@ -253,6 +257,7 @@
     const endsAt = startedAt + settings.bounds.graceMilliseconds -
       FORCED_CLOSE_MARGIN_MILLISECONDS;
     this.#phase = RouterPhase.ShuttingDown;
+    this.#endsAt = endsAt;
     logger.info("shutting down", { active: this.#ingress.active });
     void this.#fleet.leave(this.#lifetime.signal);
     await this.#waitUntil(
@@ -295,10 +300,7 @@
       reader,
       findLimits: () => this.#state.routes?.configuration.limits,
       isLeaving: () => this.#phase === RouterPhase.ShuttingDown,
-      findRejection: (call) =>
-        this.#crashes.isQuarantined(call)
-          ? RejectionKind.Quarantined
-          : undefined,
+      findRejection: (call) => this.#findRejection(call),
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
       countConnection: (event) => this.#metrics.recordConnection(event),
@@ -306,6 +308,19 @@
     });
   }
 
+  #findRejection(call: ForwardedCall): RejectionKind | undefined {
+    if (this.#crashes.isQuarantined(call)) {
+      return RejectionKind.Quarantined;
+    }
+    return this.#mayFinish(call) ? undefined : RejectionKind.ShuttingDown;
+  }
+
+  #mayFinish({ route, deadlineAt }: ForwardedCall): boolean {
+    const expectedAt = this.#options.clock.now() +
+      this.#durations.predict(route.name);
+    return Math.min(expectedAt, deadlineAt) <= this.#endsAt;
+  }
+
   async #serve(
     call: ForwardedCall,
     answer: CallerAnswer,
@@ -327,6 +342,8 @@
       directory: this.#state.directory,
       limits: this.#limits,
       pauses: this.#pauses,
+      durations: this.#durations,
+      mayFinish: (call) => this.#mayFinish(call),
       countVms: () => this.#fleet.countVms(),
     }, {
       call,
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -8,6 +8,7 @@
 import { MemoryFeed } from "./testing/memory_feed.ts";
 import {
   type CallerRequestOptions,
+  type CallerResponse,
   type EndpointHandler,
   type ReceivedRequest,
   RouterHarness,
@@ -677,4 +678,34 @@
     }
     expect(new Set(statuses)).to.deep.equal(new Set([200]));
   });
+
+  it("answers each request that it passes on while it is being stopped", async () => {
+    applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
+    await harness.startEndpoint("e1", async (received, response) => {
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      sendValidResponse(received, response);
+    });
+    const router = await harness.startReadyRouter();
+    expect((await harness.send(router)).status).to.equal(200);
+    const results = new Map<string, CallerResponse>();
+    let isRunning = true;
+    const callers = Array.from({ length: 10 }, async (_, caller) => {
+      for (let call = 0; isRunning; call++) {
+        const id = `${caller}-${call}`;
+        const options = { headers: { "x-request": id } };
+        results.set(id, await harness.send(router, options));
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    });
+    await waitUntil(() => harness.receivedRequests.length > 5);
+    router.shutdown.abort();
+    await router.finished;
+    isRunning = false;
+    await Promise.all(callers);
+    const cut = harness.receivedRequests.filter(({ request }) => {
+      const result = results.get(String(request.headers["x-request"]));
+      return result !== undefined && !result.isComplete;
+    });
+    expect(cut).to.have.lengthOf(0);
+  });
 });
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -1,7 +1,11 @@
 /** Forwards one request: waits for grants, makes attempts and answers once. */
 
 import type { Clock, Logger } from "@rattanvane/base";
-import type { Admission, AttemptGrant } from "../admission/admission.ts";
+import {
+  type Admission,
+  type AttemptGrant,
+  UNUSED_REPORT,
+} from "../admission/admission.ts";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
@@ -16,12 +20,15 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
 import { FinalAnswer, RequestProgress } from "./final_answer.ts";
+import type { RunDurations } from "./run_durations.ts";
 
 /** Sends beyond the route's attempts, to make up for those that did not run. */
 const MAX_EXTRA_SENDS = 3;
 /** Part of a failure's reason when the endpoint refused the connection. */
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
 const MIN_TIME_FOR_RETRY_MILLISECONDS = 20;
+/** The caller's next connection reaches another VM. */
+const SHUTDOWN_RETRY_AFTER_MILLISECONDS = 50;
 /** A common reason, since creating one for each request takes time. */
 const EXPIRED_REASON = new Error("The deadline of the request has passed");
 
@@ -36,6 +43,9 @@
   directory: EndpointDirectory;
   limits: EndpointLimits;
   pauses: EndpointPauses;
+  durations: RunDurations;
+  /** Whether a request that begins now is expected to end before this VM does. */
+  mayFinish: (call: ForwardedCall) => boolean;
   /** The number of VMs that share the bounds of the fleet. */
   countVms: () => number;
 }
@@ -102,6 +112,16 @@
         this.#finalAnswer.refuse(this.#extendRetryAfter(refusal));
         return;
       }
+      const isFirstRun = this.#progress.runs === 0;
+      if (isFirstRun && !this.#environment.mayFinish(call)) {
+        grant.recordEnd(UNUSED_REPORT);
+        this.#finalAnswer.refuse({
+          kind: RefusalKind.ShuttingDown,
+          retryAfterMilliseconds: SHUTDOWN_RETRY_AFTER_MILLISECONDS,
+          waitedMilliseconds: grant.forecast.waitedMilliseconds,
+        });
+        return;
+      }
       const outcome = await this.#attempt(grant, signal);
       if (!this.#mayRetry(outcome, grant)) {
         this.#finalAnswer.conclude(outcome, grant.endpoint);
@@ -161,6 +181,12 @@
       longestPauseMilliseconds: outcome.longestPauseMilliseconds,
     });
     this.#logAttempt(grant, outcome);
+    if (outcome.kind === OutcomeKind.Answered) {
+      this.#environment.durations.record(
+        call.route.name,
+        outcome.durationMilliseconds,
+      );
+    }
     return outcome;
   }
 
--- a/packages/forwarding/src/scheduling/refusal.ts
+++ b/packages/forwarding/src/scheduling/refusal.ts
@@ -10,6 +10,8 @@
   OverShare = "overShare",
   /** The request was running when several endpoints crashed. */
   Quarantined = "quarantined",
+  /** This VM is expected to have ended before the request has. */
+  ShuttingDown = "shuttingDown",
   /** The deadline of the request passed while it waited. */
   Expired = "expired",
   /** The caller disconnected. */
