--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -13,6 +13,7 @@
 import type { VmContact } from "@rattanvane/protocol";
 import { LocalAdmission } from "./admission/local_admission.ts";
 import { CrashTracker } from "./state/crash_tracker.ts";
+import { EndpointLimits } from "./state/endpoint_limits.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { RowDecoder } from "./state/row_decoder.ts";
 import type { ForwardingSettings } from "./forwarding_settings.ts";
@@ -22,6 +23,7 @@
 import { ForwardRun } from "./ingress/forward_run.ts";
 import { readHealth } from "./ingress/health_check.ts";
 import { IngressServer } from "./ingress/ingress_server.ts";
+import { RunDurations } from "./ingress/run_durations.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
 import type { ForwardedCall } from "./model/call.ts";
@@ -77,11 +79,15 @@
   readonly #crashes: CrashTracker;
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
+  readonly #limits: EndpointLimits;
   readonly #pauses: EndpointPauses;
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
+  readonly #durations = new RunDurations();
   #phase = RouterPhase.Starting;
+  /** When running requests are aborted. */
+  #endsAt = Infinity;
 
   constructor(options: ForwardingRouterOptions) {
     this.#options = options;
@@ -115,6 +121,11 @@
       isPolling: () => this.#fleet.isFollower,
     });
     this.#transport = new EndpointTransport(settings.callers.host, signal);
+    this.#limits = new EndpointLimits({
+      clock,
+      logger: logger.forPart("beliefs"),
+      directory: this.#state.directory,
+    }, signal);
     this.#pauses = new EndpointPauses({
       clock,
       logger: logger.forPart("scheduler"),
@@ -127,6 +138,7 @@
       notifyPeers: () => this.#fleet.sendSoon(),
       bounds,
       directory: this.#state.directory,
+      limits: this.#limits,
       shares: this.#shares,
       crashes: this.#crashes,
       countVms: () => this.#fleet.countLimitSharers(),
@@ -150,6 +162,7 @@
       crashes: this.#crashes,
       shares: this.#shares,
       state: this.#state,
+      limits: this.#limits,
       localAdmission: new LocalAdmission({
         clock,
         shares: this.#shares,
@@ -244,6 +257,7 @@
     const endsAt = startedAt + settings.bounds.graceMilliseconds -
       FORCED_CLOSE_MARGIN_MILLISECONDS;
     this.#phase = RouterPhase.ShuttingDown;
+    this.#endsAt = endsAt;
     logger.info("shutting down", { active: this.#ingress.active });
     void this.#fleet.leave(this.#lifetime.signal);
     await this.#waitUntil(
@@ -286,10 +300,7 @@
       reader,
       findLimits: () => this.#state.routes?.configuration.limits,
       isLeaving: () => this.#phase === RouterPhase.ShuttingDown,
-      findRejection: (call) =>
-        this.#crashes.isQuarantined(call)
-          ? RejectionKind.Quarantined
-          : undefined,
+      findRejection: (call) => this.#findRejection(call),
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
       countConnection: (event) => this.#metrics.recordConnection(event),
@@ -297,6 +308,19 @@
     });
   }
 
+  #findRejection(call: ForwardedCall): RejectionKind | undefined {
+    if (this.#crashes.isQuarantined(call)) {
+      return RejectionKind.Quarantined;
+    }
+    return this.#mayFinish(call) ? undefined : RejectionKind.ShuttingDown;
+  }
+
+  #mayFinish({ route, deadlineAt }: ForwardedCall): boolean {
+    const expectedAt = this.#options.clock.now() +
+      this.#durations.predict(route.name);
+    return Math.min(expectedAt, deadlineAt) <= this.#endsAt;
+  }
+
   async #serve(
     call: ForwardedCall,
     answer: CallerAnswer,
@@ -316,7 +340,10 @@
       metrics: this.#metrics,
       admission: this.#fleet.admission,
       directory: this.#state.directory,
+      limits: this.#limits,
       pauses: this.#pauses,
+      durations: this.#durations,
+      mayFinish: (call) => this.#mayFinish(call),
       countVms: () => this.#fleet.countVms(),
     }, {
       call,
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -8,6 +8,7 @@
 import { MemoryFeed } from "./testing/memory_feed.ts";
 import {
   type CallerRequestOptions,
+  type CallerResponse,
   type EndpointHandler,
   type ReceivedRequest,
   RouterHarness,
@@ -28,6 +29,11 @@
   "HTTP/1.0 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
 ];
 
+const LIMIT_PER_SECOND = 5;
+/** A VM that has passed on a limit keeps to it after this time. */
+const LIMIT_NOTICE_MILLISECONDS = 500;
+const LIMIT_WINDOW_MILLISECONDS = 4_000;
+
 let harness = new RouterHarness();
 
 function applyRoute(changes: Partial<ForwardingRoute>): void {
@@ -628,4 +634,78 @@
     expect(harness.receivedRequests).to.have.lengthOf(count);
     expect(count).to.be.at.most(5);
   });
+
+  it("sends an endpoint that states a limit no more than it takes", async () => {
+    applyRoute({});
+    let limitedAt = Infinity;
+    let counted = 0;
+    const endsAt = performance.now() + LIMIT_WINDOW_MILLISECONDS;
+    await harness.startEndpoint("e1", ({ request }, response) => {
+      const now = performance.now();
+      limitedAt = Math.min(limitedAt, now);
+      counted += now - limitedAt >= LIMIT_NOTICE_MILLISECONDS ? 1 : 0;
+      response.writeHead(200, {
+        "x-seal": "seal-of-e1",
+        "x-request": String(request.headers["x-request"]),
+        "x-limit": String(LIMIT_PER_SECOND),
+      });
+      response.end("answer of e1");
+    });
+    await harness.startEndpoint("e2", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const callers = Array.from({ length: 8 }, async () => {
+      while (performance.now() < endsAt) {
+        await harness.send(router);
+      }
+    });
+    await Promise.all(callers);
+    expect(counted).to.be.at.most(
+      1.5 * LIMIT_PER_SECOND * LIMIT_WINDOW_MILLISECONDS / 1_000 + 5,
+    );
+    expect(counted).to.be.at.least(2);
+  });
+
+  it("answers all callers while an odd entry is among the endpoints", async () => {
+    applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
+    for (const [id, port] of [["odd-1", 99_999], ["odd-2", 0]] as const) {
+      harness.feed.put("endpoints", id, buildEndpoint(id, { port }));
+    }
+    await harness.startEndpoint("e1", sendValidResponse);
+    const router = await harness.startReadyRouter();
+    const statuses: number[] = [];
+    for (let call = 0; call < 40; call++) {
+      statuses.push((await harness.send(router)).status);
+    }
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
+  });
+
+  it("answers each request that it passes on while it is being stopped", async () => {
+    applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
+    await harness.startEndpoint("e1", async (received, response) => {
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      sendValidResponse(received, response);
+    });
+    const router = await harness.startReadyRouter();
+    expect((await harness.send(router)).status).to.equal(200);
+    const results = new Map<string, CallerResponse>();
+    let isRunning = true;
+    const callers = Array.from({ length: 10 }, async (_, caller) => {
+      for (let call = 0; isRunning; call++) {
+        const id = `${caller}-${call}`;
+        const options = { headers: { "x-request": id } };
+        results.set(id, await harness.send(router, options));
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    });
+    await waitUntil(() => harness.receivedRequests.length > 5);
+    router.shutdown.abort();
+    await router.finished;
+    isRunning = false;
+    await Promise.all(callers);
+    const cut = harness.receivedRequests.filter(({ request }) => {
+      const result = results.get(String(request.headers["x-request"]));
+      return result !== undefined && !result.isComplete;
+    });
+    expect(cut).to.have.lengthOf(0);
+  });
 });
--- a/packages/forwarding/src/scheduling/endpoint_prober.ts
+++ b/packages/forwarding/src/scheduling/endpoint_prober.ts
@@ -1,6 +1,6 @@
 /** Probes endpoints that are down until they are reachable again. */
 
-import type { Clock, Logger } from "@rattanvane/base";
+import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { ServiceScheduler } from "./service_scheduler.ts";
 
@@ -62,16 +62,33 @@
   #probeDownEndpoints(service: ProbedService, signal: AbortSignal): void {
     for (const endpoint of service.scheduler.listEndpoints()) {
       const isDue = endpoint.isOpen && endpoint.coldStart.isDown &&
-        !this.#pendingProbes.has(endpoint);
+        endpoint.hasRateCapacity && !this.#pendingProbes.has(endpoint);
       if (isDue) {
         this.#pendingProbes.add(endpoint);
-        void this.#probe(endpoint, service, signal).finally(() =>
-          this.#pendingProbes.delete(endpoint)
-        );
+        void this.#runProbe(endpoint, service, signal);
       }
     }
   }
 
+  /** One endpoint that cannot be probed must not end the process. */
+  async #runProbe(
+    endpoint: EndpointState,
+    service: ProbedService,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      await this.#probe(endpoint, service, signal);
+    } catch (thrown) {
+      this.#options.logger.warn("an endpoint could not be probed", {
+        endpoint: endpoint.record.id,
+        zone: endpoint.record.zone,
+        reason: describeError(thrown),
+      });
+    } finally {
+      this.#pendingProbes.delete(endpoint);
+    }
+  }
+
   async #probe(
     endpoint: EndpointState,
     { scheduler, healthPath }: ProbedService,
@@ -79,7 +96,7 @@
   ): Promise<void> {
     const { clock, logger, checkHealth } = this.#options;
     const sentAt = clock.now();
-    endpoint.coldStart.recordArrival();
+    endpoint.recordArrival();
     const probeSignal = AbortSignal.any([
       signal,
       AbortSignal.timeout(PROBE_TIMEOUT_MILLISECONDS),
