Show that long prompts are refused by a count of late requests, not by a share

A scheduler of ten VMs reaches four at a load at which one of a single VM has none.

The test asks for the proportion and fails: with 100 requests sent in the last second, long prompts are refused once five are late.

--- a/packages/forwarding/src/scheduling/refusal_policy_test.ts
+++ b/packages/forwarding/src/scheduling/refusal_policy_test.ts
@@ -31,6 +31,20 @@
     );
   });
 
+  it("lets long prompts wait beside late requests in proportion to the send rate", () => {
+    const policy = createPolicy();
+    const wait = { waitedMilliseconds: 50, remainingMilliseconds: 15_000 };
+    const isRefused = (lateRequests: number) =>
+      policy.isLongPromptRefusalDue({ ...wait, lateRequests });
+    expect(isRefused(4)).to.equal(false);
+    expect(isRefused(5)).to.equal(true);
+    for (let grant = 0; grant < 100; grant++) {
+      policy.recordGrant();
+    }
+    expect(isRefused(20)).to.equal(false);
+    expect(isRefused(60)).to.equal(true);
+  });
+
   it("refuses a request that has waited a large part of its time", () => {
     const isRefused = createPolicy().isRefusalDue({
       waitedMilliseconds: 600,
