Log what schedulers know of the organisations' shares

What callers saw: an organisation got far less than its share (FAIR), and no line told whether its scheduler had a wrong level, lacked reports of the other schedulers, or never got the requests. Change: each second in which an organisation is granted much less than it asked for, a scheduler logs level, capacity, sums, the number and age of the other schedulers' reports, and the largest uses. Decisions do not change.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -33,6 +33,7 @@
 import { EndpointPauses } from "./scheduling/endpoint_pauses.ts";
 import { EndpointProber } from "./scheduling/endpoint_prober.ts";
 import { ShareMeter } from "./scheduling/share_meter.ts";
+import { ShareReporter } from "./scheduling/share_reporter.ts";
 import { ServiceRegistry } from "./service_registry.ts";
 
 const MAX_RANDOM_SEED = 0x7fffffff;
@@ -211,6 +212,7 @@
     this.#runTask("beliefs", this.#state.run(signal));
     this.#runTask("endpoint prober", this.#prober.run(signal));
     this.#runTask("fleet control", this.#fleet.run(signal));
+    this.#runTask("share reporter", this.#createShareReporter().run(signal));
     await this.#readiness.start(signal);
     await this.#ingress.start(signal);
     this.#runTask("ingress", this.#ingress.run(signal));
@@ -283,6 +285,15 @@
     }
   }
 
+  #createShareReporter(): ShareReporter {
+    const { clock, logger } = this.#options;
+    return new ShareReporter({
+      shares: this.#shares,
+      clock,
+      logger: logger.forPart("scheduler"),
+    });
+  }
+
   #createIngress(): IngressServer {
     const { settings, clock, logger, dialect } = this.#options;
     const reader = new CallReader({
--- a/packages/forwarding/src/scheduling/share_meter.ts
+++ b/packages/forwarding/src/scheduling/share_meter.ts
@@ -53,6 +53,29 @@
   granted: number;
 }
 
+/** What a VM knows of the shares, in cost units per window. */
+export interface ShareDescription {
+  /** Whether some organisation was granted much less than it asked for. */
+  isContended: boolean;
+  /** The fair share of each organisation; infinite without contention. */
+  level: number;
+  capacity: number;
+  asked: number;
+  granted: number;
+  /** The number of peers whose reports are counted. */
+  reports: number;
+  oldestReportMilliseconds: number;
+  /** The uses in the fleet and at this VM, the largest demand first. */
+  uses: DescribedUse[];
+}
+
+/** An organisation's use in the fleet and at this VM. */
+export interface DescribedUse extends OrganisationUse {
+  usage: string;
+  localAsked: number;
+  localGranted: number;
+}
+
 /** Dependencies and settings of the meter. */
 export interface ShareMeterOptions {
   clock: Clock;
@@ -148,6 +171,45 @@
     return this.#level;
   }
 
+  /** Describes the current state for logs. */
+  describe(): ShareDescription {
+    this.#refresh();
+    const now = this.#options.clock.now();
+    const uses = [...this.#fleet].map(([organisation, use]) =>
+      this.#describeUse(organisation, use)
+    ).sort((first, second) => second.asked - first.asked);
+    const ages = [...this.#peers.values()].map(({ receivedAt }) =>
+      now - receivedAt
+    );
+    return {
+      isContended: uses.some(({ asked, granted }) =>
+        granted < asked * SATISFIED_FRACTION
+      ),
+      level: this.#level,
+      capacity: Math.round(this.#computeCapacity()),
+      asked: uses.reduce((sum, { asked }) => sum + asked, 0),
+      granted: uses.reduce((sum, { granted }) => sum + granted, 0),
+      reports: ages.length,
+      oldestReportMilliseconds: Math.round(Math.max(0, ...ages)),
+      uses,
+    };
+  }
+
+  #describeUse(
+    organisation: OrganisationId,
+    { asked, granted }: FleetUse,
+  ): DescribedUse {
+    const local = this.#local.get(organisation);
+    return {
+      organisation,
+      asked,
+      granted,
+      localAsked: Math.round(local?.asked.sum ?? 0),
+      localGranted: Math.round(local?.granted.sum ?? 0),
+      usage: ShareUsage[this.computeShareUsage(organisation)],
+    };
+  }
+
   #findLocalUse(organisation: OrganisationId): LocalUse {
     const known = this.#local.get(organisation);
     if (known !== undefined) {
