Divide spare capacity by what the engines do, not by the least served

Cause: an organisation over its share of the configured capacity could use spare capacity up to 1.2 times the least served of the others. That divides organisations into those near the least served one and all others, so one with twice and one with ten times as much had the same limits, and were granted the same part of what they asked for. The class: a share computed from a configured figure, and no share at all of what the engines do beyond it (here as much again). Ruled out: stale or missing reports, a level that is unlimited (the line of shares shows 8 reports below 130 ms and the same level everywhere). Change: a second max-min level over what all schedulers granted in the window; beyond 1.2 times that an organisation comes last.

--- a/packages/forwarding/src/scheduling/share_meter.ts
+++ b/packages/forwarding/src/scheduling/share_meter.ts
@@ -23,8 +23,9 @@
 /** An organisation granted this fraction of its demand counts as satisfied. */
 const SATISFIED_FRACTION = 0.8;
 /**
- * Spare capacity may favour an organisation over its share by this factor over
- * the least served of the others.
+ * Spare capacity may favour an organisation by this factor over an even
+ * division of what is granted, so that one whose demand alone is not met can
+ * still be granted more.
  */
 const OVER_SHARE_TOLERANCE = 1.2;
 
@@ -34,7 +35,7 @@
   Within,
   /** The organisation may only use spare capacity. */
   Over,
-  /** Others over their share were granted much less. */
+  /** The organisation was granted more than an even division of all grants. */
   FarOver,
 }
 
@@ -95,8 +96,8 @@
   readonly #peers = new Map<VmId, PeerUse>();
   #fleet = new Map<OrganisationId, FleetUse>();
   #level = Infinity;
-  /** The least granted to any unsatisfied organisation above the level. */
-  #lowestGrantOverShare = Infinity;
+  /** The max-min fair level of what engines did, not of what is configured. */
+  #spareLevel = Infinity;
   #computedAt = -Infinity;
   #costPerSecond = 0;
 
@@ -157,7 +158,7 @@
     if (granted < this.#level) {
       return ShareUsage.Within;
     }
-    return granted <= this.#lowestGrantOverShare * OVER_SHARE_TOLERANCE
+    return granted <= this.#spareLevel * OVER_SHARE_TOLERANCE
       ? ShareUsage.Over
       : ShareUsage.FarOver;
   }
@@ -231,20 +232,14 @@
     }
     this.#computedAt = now;
     this.#fleet = this.#sumFleetUse(now);
-    this.#lowestGrantOverShare = Infinity;
-    const asked = [...this.#fleet.values()].map((use) => use.asked);
+    const uses = [...this.#fleet.values()];
+    const asked = uses.map((use) => use.asked);
+    const granted = uses.reduce((sum, use) => sum + use.granted, 0);
+    const capacity = this.#computeCapacity();
     this.#level = this.#costPerSecond === 0
       ? Infinity
-      : computeShareLevel(asked, this.#computeCapacity());
-    for (const use of this.#fleet.values()) {
-      const isUnsatisfied = use.granted < use.asked * SATISFIED_FRACTION;
-      if (isUnsatisfied && use.granted >= this.#level) {
-        this.#lowestGrantOverShare = Math.min(
-          this.#lowestGrantOverShare,
-          use.granted,
-        );
-      }
-    }
+      : computeShareLevel(asked, capacity);
+    this.#spareLevel = computeShareLevel(asked, Math.max(granted, capacity));
   }
 
   #computeCapacity(): number {
