Refuse a request over its share only for those that are served before it

Cause: a request that finds no engine is refused when more requests over their share wait than are sent within the longest wait. Those of organisations further over theirs were counted too, although they are served after it; one that floods a scheduler fills that count. Change: only requests with the same usage or a lower one are counted. Test: holds a request over its share while only requests of organisations further over theirs wait; failed before (refused at once), passes now.

--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -322,11 +322,12 @@
     this.#refuse(blocked.waiting, kind);
   }
 
-  #isOverShareRefusalDue({ call, queuedAt }: QueuedRequest): boolean {
+  #isOverShareRefusalDue(waiting: QueuedRequest): boolean {
+    const { call, queuedAt, shareUsage } = waiting;
     return this.#refusalPolicy.isOverShareRefusalDue({
       waitedMilliseconds: this.#options.clock.now() - queuedAt,
       objectiveMilliseconds: call.route.objectiveMilliseconds,
-      waiting: this.#queue.countOverShare(),
+      waiting: this.#queue.countOverShare(shareUsage),
     });
   }
 
--- a/packages/forwarding/src/scheduling/service_scheduler_test.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler_test.ts
@@ -284,6 +284,28 @@
     expect(greedy).to.be.within(1, 40 * GREEDY_REQUESTS - 1);
   });
 
+  it("holds a request over its share while only requests of organisations further over theirs wait", async () => {
+    const { clock, shares, scheduler } = createEngineScheduler();
+    shares.updateCapacity(1_000);
+    shares.mergePeer("vm-2", [
+      { organisation: "greedy", asked: 900_000, granted: 90_000 },
+      { organisation: "modest", asked: 30_000, granted: 5_000 },
+    ]);
+    scheduler.mergePeer("vm-2", buildFullEngineReport());
+    const submit = (organisation: string) => {
+      const prompt = buildPrompt("part", 400);
+      const call = buildCall(clock.now(), { organisation, prompt });
+      return scheduler.submit(call, NO_RESTRICTIONS, NEVER_ABORTED);
+    };
+    for (let request = 0; request < 10; request++) {
+      void submit("greedy");
+    }
+    const waiting = submit("modest");
+    scheduler.mergePeer("vm-2", new Map());
+    await clock.advance(20);
+    expect(isGranted(await waiting)).to.equal(true);
+  });
+
   it("keeps a request away from excluded endpoints, and refuses it at once if there are no others", async () => {
     const { scheduler } = createScheduler(64);
     const excluded = new Set(["e1"]);
@@ -318,6 +340,13 @@
   }
 }
 
+/** Builds the report of a peer whose requests fill the only engine. */
+function buildFullEngineReport() {
+  const endpoint = "e1";
+  const use = { endpoint, running: 8, prefillTokens: 0, recentTokens: 0 };
+  return new Map([[endpoint, use]]);
+}
+
 function createEngineScheduler() {
   const base = createScheduler();
   const service = buildService({ engine: { slots: 8, memoryTokens: 100_000 } });
--- a/packages/forwarding/src/scheduling/waiting_queue.ts
+++ b/packages/forwarding/src/scheduling/waiting_queue.ts
@@ -41,11 +41,15 @@
     this.#entries.splice(index, 0, entry);
   }
 
-  /** Counts the requests of organisations over their share. */
-  countOverShare(): number {
+  /**
+   * Counts the requests of organisations over their share, without those of
+   * organisations with a higher usage, which are served later.
+   */
+  countOverShare(highest: ShareUsage): number {
     let count = 0;
     for (const { shareUsage } of this.#entries) {
-      count += shareUsage >= ShareUsage.Over ? 1 : 0;
+      const isCounted = shareUsage >= ShareUsage.Over && shareUsage <= highest;
+      count += isCounted ? 1 : 0;
     }
     return count;
   }
