Give organisations within their share at least the limits of those over theirs

Cause: the limits for organisations over their share grow with the spare capacity, up to 1.5 times, which is 0.9 of the slots and 0.825 of the pause. Those within their share have fixed limits, 0.85 and 0.7. So while streams run smoothly an engine takes requests of who is over its share and none of who is within it. Change: whoever is within its share has the larger of both limits. Test: admits an organisation within its share wherever it admits one over its share; failed before at 55 of 64 slots, passes now.

--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -263,19 +263,29 @@
 
   /**
    * Limits by share usage. Those of organisations over their share are scaled
-   * with the spare capacity, which follows the event intervals of streams.
+   * with the spare capacity, which follows the event intervals of streams; the
+   * others have at least the same.
    */
   #findLimits(
     { shareUsage, spareCapacityFactor }: ChoiceRequest,
   ): AdmissionLimits {
-    const limits = this.#settings.admissionLimits[shareUsage];
-    return isOverShare(shareUsage)
-      ? {
-        ...limits,
-        slotFraction: limits.slotFraction * spareCapacityFactor,
-        pauseFraction: limits.pauseFraction * spareCapacityFactor,
-      }
-      : limits;
+    const { admissionLimits } = this.#settings;
+    if (isOverShare(shareUsage)) {
+      return computeScaledLimits(
+        admissionLimits[shareUsage],
+        spareCapacityFactor,
+      );
+    }
+    const limits = admissionLimits[shareUsage];
+    const spare = computeScaledLimits(
+      admissionLimits[ShareUsage.Over],
+      spareCapacityFactor,
+    );
+    return {
+      ...limits,
+      slotFraction: Math.max(limits.slotFraction, spare.slotFraction),
+      pauseFraction: Math.max(limits.pauseFraction, spare.pauseFraction),
+    };
   }
 
   /**
@@ -335,6 +345,17 @@
   }
 }
 
+function computeScaledLimits(
+  limits: AdmissionLimits,
+  factor: number,
+): AdmissionLimits {
+  return {
+    ...limits,
+    slotFraction: limits.slotFraction * factor,
+    pauseFraction: limits.pauseFraction * factor,
+  };
+}
+
 function isOverShare(usage: ShareUsage): boolean {
   return usage >= ShareUsage.Over;
 }
--- a/packages/forwarding/src/scheduling/engine_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_test.ts
@@ -77,6 +77,23 @@
     expect(engines.size).to.be.at.least(3);
   });
 
+  it("admits an organisation within its share wherever it admits one over its share", () => {
+    const fixture = createFixture(1);
+    const [engine] = fixture.endpoints;
+    for (let running = 0; running < CAPACITY.slots; running++) {
+      const choose = (shareUsage: ShareUsage) =>
+        fixture.chooser.choose(
+          buildRequest("part", 100, { shareUsage, spareCapacityFactor: 1.5 }),
+          [...fixture.endpoints],
+        );
+      if (typeof choose(ShareUsage.Over) === "object") {
+        expect(choose(ShareUsage.Within), `${running} running`)
+          .to.be.an("object");
+      }
+      engine?.adoptAttempt();
+    }
+  });
+
   it("separates long prompts from the engines of short ones", () => {
     const fixture = createFixture();
     const short = new Set<string>();
