Refuse connections unread while others wait to be accepted

Cause: each turn of the event loop accepts one connection and handles what all kept connections have. The intake shares out the time between both, but a slow processor has too little for either: every connection that is accepted costs a parsed request, and callers refused on kept connections send the next one there after 50 ms. Change: once each turn has accepted a connection for 100 ms, new connections are answered with 503 and a Retry-After of 50 ms when their head has arrived, without parsing it, until a turn accepts none. Meanwhile whoever is refused on a kept connection is asked to connect again. Why it works: the time of a refusal no longer depends on the requests of others; the queue is emptied within turns that do little else, and callers reach another VM after 50 ms.

--- /dev/null
+++ b/packages/forwarding/src/ingress/accept_queue_monitor_test.ts
@@ -0,0 +1,57 @@
+import { setImmediate as waitForTurn } from "node:timers/promises";
+import { ManualClock } from "@rattanvane/base";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { AcceptQueueMonitor } from "./accept_queue_monitor.ts";
+
+const TURN_MILLISECONDS = 10;
+
+/** A clock whose time passes without a turn of the event loop. */
+class BlockedClock extends ManualClock {
+  #blockedMilliseconds = 0;
+
+  override now(): number {
+    return super.now() + this.#blockedMilliseconds;
+  }
+
+  block(milliseconds: number): void {
+    this.#blockedMilliseconds += milliseconds;
+  }
+}
+
+/** Lets turns of the event loop pass, each of which accepts a connection. */
+async function runAcceptingTurns(
+  { clock, monitor }: ReturnType<typeof createFixture>,
+  turns: number,
+): Promise<void> {
+  for (let turn = 0; turn < turns; turn++) {
+    monitor.recordConnection();
+    clock.block(TURN_MILLISECONDS);
+    await waitForTurn();
+  }
+}
+
+function createFixture() {
+  const clock = new BlockedClock();
+  return { clock, monitor: new AcceptQueueMonitor(clock) };
+}
+
+describe("AcceptQueueMonitor", () => {
+  it("reports connections that wait in each turn for longer than 100 ms", async () => {
+    const fixture = createFixture();
+    await runAcceptingTurns(fixture, 9);
+    expect(fixture.monitor.isOverloaded).to.equal(false);
+    await runAcceptingTurns(fixture, 3);
+    expect(fixture.monitor.isOverloaded).to.equal(true);
+  });
+
+  it("reports none once a turn has accepted no connection", async () => {
+    const fixture = createFixture();
+    await runAcceptingTurns(fixture, 20);
+    await waitForTurn();
+    await waitForTurn();
+    expect(fixture.monitor.isOverloaded).to.equal(false);
+    await runAcceptingTurns(fixture, 3);
+    expect(fixture.monitor.isOverloaded).to.equal(false);
+  });
+});
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -5,6 +5,7 @@
 import type { AnswerHeaders } from "../model/dialect.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const STATUS_UNAVAILABLE = 503;
 
 /** Hop-by-hop headers, and the content length, which is set anew. */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -28,15 +29,18 @@
 /** The answer to one caller; a second complete answer is ignored. */
 export class CallerAnswer {
   readonly #response: ServerResponse;
-  readonly #shouldClose: () => boolean;
+  readonly #shouldClose: (isRefused: boolean) => boolean;
   #streamType: string | string[] | undefined;
   #hasStreamFraming = true;
 
   /**
    * `shouldClose` is asked with each answer whether its connection is to be
-   * closed afterwards.
+   * closed afterwards, and told whether the answer refuses the request.
    */
-  constructor(response: ServerResponse, shouldClose: () => boolean) {
+  constructor(
+    response: ServerResponse,
+    shouldClose: (isRefused: boolean) => boolean,
+  ) {
     this.#response = response;
     this.#shouldClose = shouldClose;
   }
@@ -78,7 +82,7 @@
       const seconds = answer.retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
       headers["retry-after"] = seconds.toFixed(2);
     }
-    if (this.#shouldClose()) {
+    if (this.#shouldClose(answer.status === STATUS_UNAVAILABLE)) {
       headers["connection"] = "close";
     }
     this.#response.writeHead(answer.status, headers);
@@ -139,7 +143,7 @@
       // encoding would mark either as complete.
       this.#response.useChunkedEncodingByDefault = false;
     }
-    if (!hasFraming || this.#shouldClose()) {
+    if (!hasFraming || this.#shouldClose(false)) {
       collected["connection"] = "close";
     }
     return collected;
--- /dev/null
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -0,0 +1,46 @@
+/** Refuses connections at a small fraction of the cost of a parsed request. */
+
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+
+/** The caller's next connection reaches another VM. */
+const RETRY_AFTER_SECONDS = 0.05;
+const BODY = '{"error":"This VM has too many connections; not run"}\n';
+const ANSWER = Buffer.from([
+  "HTTP/1.1 503 Service Unavailable",
+  "content-type: application/json",
+  `content-length: ${BODY.length}`,
+  `retry-after: ${RETRY_AFTER_SECONDS}`,
+  "connection: close",
+  "",
+  BODY,
+].join("\r\n"));
+const HEAD_END = "\r\n\r\n";
+const MAX_HEAD_BYTES = 64 * 1024;
+/** A caller that neither sends nor closes for this long is disconnected. */
+const IDLE_TIMEOUT_MILLISECONDS = 1_000;
+
+/**
+ * Answers the first request of a connection with 503 and closes the connection.
+ * The request is not parsed, and its body is discarded.
+ */
+export function sendConnectionRefusal(socket: Socket): void {
+  let head = "";
+  let isAnswered = false;
+  socket.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => socket.destroy());
+  socket.on("error", () => socket.destroy());
+  socket.on("end", () => isAnswered || socket.destroy());
+  socket.on("data", (chunk: Uint8Array) => {
+    if (isAnswered) {
+      return;
+    }
+    head += Buffer.from(chunk).toString("latin1");
+    if (head.includes(HEAD_END)) {
+      isAnswered = true;
+      head = "";
+      socket.end(ANSWER);
+    } else if (head.length > MAX_HEAD_BYTES) {
+      socket.destroy();
+    }
+  });
+}
--- a/packages/forwarding/src/ingress/ingress_load.ts
+++ b/packages/forwarding/src/ingress/ingress_load.ts
@@ -18,6 +18,8 @@
   leftUnread: number;
   /** Connections that were closed unread, since too many were open. */
   dropped: number;
+  /** Connections that were refused, since others had waited for too long. */
+  refused: number;
   /** Requests that were the first of their connection. */
   firstRequests: number;
   laterRequests: number;
@@ -40,6 +42,8 @@
   LeftUnread = "leftUnread",
   /** It was closed unread, since too many were open. */
   Dropped = "dropped",
+  /** Its request was refused unread, since connections waited for too long. */
+  Refused = "refused",
 }
 
 /**
@@ -86,6 +90,13 @@
     this.#options.countConnection(ConnectionEvent.Dropped);
   }
 
+  /** Counts a connection that is refused without reading its request. */
+  recordRefusal(socket: Socket): void {
+    this.#requests.set(socket, 0);
+    this.#counts.refused++;
+    this.#options.countConnection(ConnectionEvent.Refused);
+  }
+
   /** Counts a request whose head was read. */
   recordRequest(socket: Socket): void {
     const earlier = this.#requests.get(socket) ?? 0;
@@ -157,6 +168,7 @@
     accepted: 0,
     leftUnread: 0,
     dropped: 0,
+    refused: 0,
     firstRequests: 0,
     laterRequests: 0,
     leftWaiting: 0,
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -8,11 +8,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { type Clock, describeError, type Logger } from "@rattanvane/base";
 import type { ForwardedCall } from "../model/call.ts";
 import type { CallerLimits } from "../model/route.ts";
+import { AcceptQueueMonitor } from "./accept_queue_monitor.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
+import { sendConnectionRefusal } from "./connection_refuser.ts";
 import { type ConnectionEvent, IngressLoad } from "./ingress_load.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 
@@ -98,6 +101,7 @@
   readonly #server: Server;
   readonly #intake: IntakeQueue;
   readonly #load: IngressLoad;
+  readonly #acceptQueue: AcceptQueueMonitor;
   #active = 0;
   /** Keep-alive connections may still deliver requests afterwards. */
   #hasStoppedAccepting = false;
@@ -119,9 +123,26 @@
     this.#server.requestTimeout = 0;
     this.#server.maxConnections = MAX_CONNECTIONS;
     this.#server.on("drop", () => this.#load.recordDrop());
-    this.#server.on("connection", (socket) => {
+    this.#acceptQueue = new AcceptQueueMonitor(options.clock);
+    this.#interceptConnections();
+  }
+
+  /** Decides on each connection before the HTTP server reads from it. */
+  #interceptConnections(): void {
+    const listeners = this.#server.listeners("connection");
+    this.#server.removeAllListeners("connection");
+    this.#server.on("connection", (socket: Socket) => {
       this.#intake.recordConnection();
+      this.#acceptQueue.recordConnection();
       this.#load.recordConnection(socket);
+      if (this.#acceptQueue.isOverloaded) {
+        this.#load.recordRefusal(socket);
+        sendConnectionRefusal(socket);
+        return;
+      }
+      for (const listener of listeners) {
+        listener.call(this.#server, socket);
+      }
     });
   }
 
@@ -163,7 +184,10 @@
   ): Promise<void> {
     const receivedAt = this.#options.clock.now();
     this.#load.recordRequest(request.socket);
-    const answer = new CallerAnswer(response, () => this.#shouldClose());
+    const answer = new CallerAnswer(
+      response,
+      (isRefused) => this.#shouldClose(isRefused),
+    );
     this.#active++;
     response.once("close", () => this.#active--);
     const rejection = this.#findEarlyRejection(request);
@@ -183,9 +207,14 @@
     }
   }
 
-  #shouldClose(): boolean {
+  /**
+   * While new connections wait, a refused caller has to connect again, which
+   * takes less time than to read and refuse its next request.
+   */
+  #shouldClose(isRefused: boolean): boolean {
     return this.#options.isLeaving() ||
-      this.#load.openConnections > MAX_KEPT_CONNECTIONS;
+      this.#load.openConnections > MAX_KEPT_CONNECTIONS ||
+      isRefused && this.#acceptQueue.isOverloaded;
   }
 
   /** A busy VM spends as little time as possible on what it rejects. */
--- a/packages/forwarding/src/testing/pressing_callers.ts
+++ b/packages/forwarding/src/testing/pressing_callers.ts
@@ -26,6 +26,8 @@
     setTimeout(() => socket.writable && socket.write(request), wait);
   });
   socket.on("error", () => socket.destroy());
+  socket.on("end", () => socket.end());
+  socket.on("close", () => setTimeout(runKeptCaller, retryMilliseconds));
 }
 
 function startNewCaller() {
@@ -67,7 +69,7 @@
   request: string;
   /**
    * Callers that keep their connection and send again once they are answered,
-   * those that are refused after a while.
+   * those that are refused after a while. They connect again when it is closed.
    */
   keptCallers: number;
   retryMilliseconds: number;
