Send no body in answer to a request for a head that is refused unread

A body after the answer to HEAD would be bytes that belong to no answer. Test: sends no body in answer to a request for a head.

--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -6,16 +6,16 @@
 /** The caller's next connection reaches another VM. */
 const RETRY_AFTER_SECONDS = 0.05;
 const BODY = '{"error":"This VM has too many connections; not run"}\n';
-const ANSWER = Buffer.from([
+const HEAD_END = "\r\n\r\n";
+const ANSWER_HEAD = [
   "HTTP/1.1 503 Service Unavailable",
   "content-type: application/json",
   `content-length: ${BODY.length}`,
   `retry-after: ${RETRY_AFTER_SECONDS}`,
   "connection: close",
-  "",
-  BODY,
-].join("\r\n"));
-const HEAD_END = "\r\n\r\n";
+].join("\r\n") + HEAD_END;
+const ANSWER = Buffer.from(ANSWER_HEAD + BODY);
+const METHOD_WITHOUT_BODY = "HEAD ";
 const MAX_HEAD_BYTES = 64 * 1024;
 /** A caller that neither sends nor closes for this long is disconnected. */
 const IDLE_TIMEOUT_MILLISECONDS = 1_000;
@@ -37,8 +37,9 @@
     head += Buffer.from(chunk).toString("latin1");
     if (head.includes(HEAD_END)) {
       isAnswered = true;
+      const hasBody = !head.startsWith(METHOD_WITHOUT_BODY);
+      socket.end(hasBody ? ANSWER : ANSWER_HEAD);
       head = "";
-      socket.end(ANSWER);
     } else if (head.length > MAX_HEAD_BYTES) {
       socket.destroy();
     }
--- a/packages/forwarding/src/ingress/connection_refuser_test.ts
+++ b/packages/forwarding/src/ingress/connection_refuser_test.ts
@@ -62,6 +62,12 @@
     expect(text.match(/503/g)).to.have.length(1);
   });
 
+  it("sends no body in answer to a request for a head", async () => {
+    const { text } = await sendPieces(["HEAD /a/x HTTP/1.1\r\n\r\n"]);
+    expect(text).to.match(/^HTTP\/1.1 503 /);
+    expect(text.endsWith("\r\n\r\n")).to.equal(true);
+  });
+
   it("answers nothing to a caller that sends no request", async () => {
     const { text } = await sendPieces(["POST /a/x HTTP/1.1\r\n"]);
     expect(text).to.equal("");
