--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -21,4 +21,5 @@
   Logger,
   LogLevel,
 } from "./node/logger.ts";
+export { RecordingLogger } from "./node/recording_logger.ts";
 export { RendezvousScores } from "./node/rendezvous_scores.ts";
--- a/packages/forwarding/src/testing/recording_logger.ts
+++ b/packages/base/src/node/recording_logger.ts
@@ -1,6 +1,6 @@
-/** A logger that keeps its lines. */
+/** A logger that keeps its lines, for tests. */
 
-import { type LogFields, Logger } from "@rattanvane/base";
+import { type LogFields, Logger } from "./logger.ts";
 
 /** Records the info lines of the log. */
 export class RecordingLogger extends Logger {
--- a/packages/forwarding/src/ingress/accept_queue_monitor_test.ts
+++ b/packages/forwarding/src/ingress/accept_queue_monitor_test.ts
@@ -1,24 +1,11 @@
 import { setImmediate as waitForTurn } from "node:timers/promises";
-import { ManualClock } from "@rattanvane/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { BlockedClock } from "../testing/blocked_clock.ts";
 import { AcceptQueueMonitor } from "./accept_queue_monitor.ts";
 
 const TURN_MILLISECONDS = 10;
 
-/** A clock whose time passes without a turn of the event loop. */
-class BlockedClock extends ManualClock {
-  #blockedMilliseconds = 0;
-
-  override now(): number {
-    return super.now() + this.#blockedMilliseconds;
-  }
-
-  block(milliseconds: number): void {
-    this.#blockedMilliseconds += milliseconds;
-  }
-}
-
 /** Lets turns of the event loop pass, each of which accepts a connection. */
 async function runAcceptingTurns(
   { clock, monitor }: ReturnType<typeof createFixture>,
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -19,6 +19,16 @@
 /** A VM that accepts 250 connections a second takes these within 0.6 s. */
 const MAX_QUEUED_CONNECTIONS = 150;
 
+const PRESSING_LOAD = {
+  request: buildRequest("pressing"),
+  keptCallers: 240,
+  retryMilliseconds: 300,
+  newPerSecond: 300,
+  patienceMilliseconds: 1_000,
+  warmUpMilliseconds: 2_000,
+  milliseconds: 5_000,
+};
+
 let harness = new RouterHarness();
 
 /** Load: a VM that was busy while callers sent their requests and gave up. */
@@ -50,13 +60,7 @@
     const router = await harness.startReadyRouter();
     const { tried, answered } = await runPressingCallers({
       ...router.settings.callers,
-      request: buildRequest("pressing"),
-      keptCallers: 240,
-      retryMilliseconds: 300,
-      newPerSecond: 300,
-      patienceMilliseconds: 1_000,
-      warmUpMilliseconds: 2_000,
-      milliseconds: 5_000,
+      ...PRESSING_LOAD,
     });
     expect(answered / tried).to.be.at.least(0.5);
   });
@@ -68,13 +72,7 @@
     });
     const { tried, answered } = await runPressingCallers({
       ...router.settings.callers,
-      request: buildRequest("pressing"),
-      keptCallers: 240,
-      retryMilliseconds: 300,
-      newPerSecond: 300,
-      patienceMilliseconds: 1_000,
-      warmUpMilliseconds: 2_000,
-      milliseconds: 5_000,
+      ...PRESSING_LOAD,
     });
     expect(answered / tried).to.be.at.least(0.5);
   });
--- a/packages/forwarding/src/ingress/intake_queue_test.ts
+++ b/packages/forwarding/src/ingress/intake_queue_test.ts
@@ -1,6 +1,7 @@
-import { createLifetime, ManualClock } from "@rattanvane/base";
+import { createLifetime } from "@rattanvane/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { BlockedClock } from "../testing/blocked_clock.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 
 const NEVER_ABORTED = createLifetime().signal;
@@ -12,19 +13,6 @@
 const LONG_QUEUE_MILLISECONDS = 150;
 const TOO_LONG_MILLISECONDS = 300;
 
-/** A clock whose time passes without a turn of the event loop. */
-class BlockedClock extends ManualClock {
-  #blockedMilliseconds = 0;
-
-  override now(): number {
-    return super.now() + this.#blockedMilliseconds;
-  }
-
-  block(milliseconds: number): void {
-    this.#blockedMilliseconds += milliseconds;
-  }
-}
-
 function createQueue(
   maxWaitingPerOrganisation = FLOOD,
   clock = new BlockedClock(),
--- a/packages/forwarding/src/scheduling/share_reporter_test.ts
+++ b/packages/forwarding/src/scheduling/share_reporter_test.ts
@@ -1,7 +1,6 @@
-import { createLifetime, ManualClock } from "@rattanvane/base";
+import { createLifetime, ManualClock, RecordingLogger } from "@rattanvane/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
-import { RecordingLogger } from "../testing/recording_logger.ts";
 import { ShareMeter } from "./share_meter.ts";
 import { ShareReporter } from "./share_reporter.ts";
 
--- a/packages/scheduling/src/pool/pool_scheduler_test.ts
+++ b/packages/scheduling/src/pool/pool_scheduler_test.ts
@@ -1,4 +1,4 @@
-import { type LogFields, Logger } from "@rattanvane/base";
+import { RecordingLogger } from "@rattanvane/base";
 import {
   type Message,
   MessageKind,
@@ -21,23 +21,6 @@
   return world;
 }
 
-/** Records the info lines of the log. */
-class RecordingLogger extends Logger {
-  readonly lines: { sentence: string; fields: LogFields }[] = [];
-
-  override debug(): void {}
-  override warn(): void {}
-  override error(): void {}
-
-  override info(sentence: string, fields: LogFields = {}): void {
-    this.lines.push({ sentence, fields });
-  }
-
-  override forPart(): Logger {
-    return this;
-  }
-}
-
 /** Records observed decisions. */
 class RecordingObserver extends PoolObserver {
   readonly waits: number[] = [];
