Disconnect refused callers that go on sending

Cause: a connection that is refused unread was closed after 1 s without a byte only, so a caller that sends an endless body kept it open and was read forever. Change: such a connection is closed after 3 s, whatever its caller sends. Test: disconnects a caller whose body does not end; failed before (open after 5 s), passes now.

--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -1,4 +1,4 @@
-/** Refuses connections at a small fraction of the cost of a parsed request. */
+/** Refuses connections without parsing their requests. */
 
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
@@ -19,6 +19,8 @@
 const MAX_HEAD_BYTES = 64 * 1024;
 /** A caller that neither sends nor closes for this long is disconnected. */
 const IDLE_TIMEOUT_MILLISECONDS = 1_000;
+/** The same for a caller that goes on sending. */
+const LIFETIME_MILLISECONDS = 3_000;
 
 /**
  * Answers the first request of a connection with 503 and closes the connection.
@@ -28,6 +30,8 @@
   let head = "";
   let isAnswered = false;
   socket.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => socket.destroy());
+  const lifetime = setTimeout(() => socket.destroy(), LIFETIME_MILLISECONDS);
+  socket.once("close", () => clearTimeout(lifetime));
   socket.on("error", () => socket.destroy());
   socket.on("end", () => isAnswered || socket.destroy());
   socket.on("data", (chunk: Uint8Array) => {
--- a/packages/forwarding/src/ingress/connection_refuser_test.ts
+++ b/packages/forwarding/src/ingress/connection_refuser_test.ts
@@ -7,6 +7,8 @@
 const HEAD = "POST /a/x HTTP/1.1\r\nHost: one.example\r\n" +
   "Content-Length: 400000\r\n\r\n";
 const BODY = "x".repeat(400_000);
+/** With a margin over the time that a refused connection may stay open. */
+const MAX_OPEN_MILLISECONDS = 5_000;
 const ENDLESS_HEAD_BYTES = 400_000;
 
 let server: Server;
@@ -73,6 +75,24 @@
     expect(text).to.equal("");
   });
 
+  it("disconnects a caller whose body does not end", async () => {
+    const { port } = server.address() as AddressInfo;
+    const options = { port, host: "127.0.0.1", allowHalfOpen: true };
+    const socket = connect(options, () => socket.write(HEAD));
+    socket.resume();
+    socket.on("error", () => {});
+    const body = setInterval(() => socket.write("x"), 100);
+    const isClosed = await Promise.race([
+      new Promise((resolve) => socket.once("close", () => resolve(true))),
+      new Promise((resolve) =>
+        setTimeout(() => resolve(false), MAX_OPEN_MILLISECONDS)
+      ),
+    ]);
+    clearInterval(body);
+    socket.destroy();
+    expect(isClosed).to.equal(true);
+  }).timeout(MAX_OPEN_MILLISECONDS * 2);
+
   it("disconnects a caller whose head does not end", async () => {
     const { text } = await sendPieces(["x".repeat(ENDLESS_HEAD_BYTES)]);
     expect(text).to.equal("");
