--- a/packages/forwarding/src/scheduling/spare_capacity_shares_test.ts
+++ b/packages/forwarding/src/scheduling/spare_capacity_shares_test.ts
@@ -21,8 +21,8 @@
 
 /**
  * Load: engines that serve about twice the configured cost units a second; one
- * organisation asks for more than all of that at all schedulers, another for a
- * third of it at one scheduler, six for little.
+ * organisation asks for more than all of that at all schedulers, two for less
+ * at one scheduler each, eight for little.
  */
 describe("shares of spare capacity", () => {
   for (const seed of [1, 2, 3]) {
