Count the addresses of callers that are refused unread

A saturated VM refuses hundreds of connections a second, and its log does not tell whether they are a few callers that come back or many that other VMs could serve: the requests are not parsed. The line of a busy event loop now counts the addresses among every 16th refused connection. The decision on a connection moves into AcceptQueueMonitor.mayServe, unchanged.

--- a/packages/forwarding/src/ingress/accept_queue_monitor.ts
+++ b/packages/forwarding/src/ingress/accept_queue_monitor.ts
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Whether the connection that was recorded last may be served. */
+  mayServe(): boolean {
+    return !this.isOverloaded;
+  }
+
   /** Whether connections wait for too long. */
   get isOverloaded(): boolean {
     return this.#waitingSince !== undefined &&
--- a/packages/forwarding/src/ingress/ingress_load.ts
+++ b/packages/forwarding/src/ingress/ingress_load.ts
@@ -8,6 +8,8 @@
 /** An event loop that is idle for longer than this keeps up with its callers. */
 const MIN_REPORTED_UTILIZATION = 0.8;
 const PERCENT = 100;
+/** Of the refused connections, every one of this many has its address read. */
+const REFUSALS_PER_ADDRESS = 16;
 /** More lines of rejected requests in a second are counted only. */
 const MAX_REJECTION_LINES = 20;
 
@@ -54,6 +56,8 @@
 export class IngressLoad {
   readonly #options: IngressLoadOptions;
   readonly #requests = new WeakMap<Socket, number>();
+  /** Addresses of refused callers, of a part of the connections. */
+  readonly #refusedAddresses = new Set<string>();
   #counts = createCounts();
   #rejections = 0;
   #open = 0;
@@ -94,6 +98,9 @@
   recordRefusal(socket: Socket): void {
     this.#requests.set(socket, 0);
     this.#counts.refused++;
+    if (this.#counts.refused % REFUSALS_PER_ADDRESS === 1) {
+      this.#refusedAddresses.add(socket.remoteAddress ?? "");
+    }
     this.#options.countConnection(ConnectionEvent.Refused);
   }
 
@@ -139,6 +146,7 @@
     if (fraction >= MIN_REPORTED_UTILIZATION) {
       this.#options.logger.info("the event loop is busy", {
         ...this.#counts,
+        refusedAddresses: this.#refusedAddresses.size,
         open: this.#open,
         waiting: this.#options.countWaiting(),
         utilizationPercent: Math.round(fraction * PERCENT),
@@ -148,6 +156,7 @@
     }
     this.#reportRejections();
     this.#counts = createCounts();
+    this.#refusedAddresses.clear();
     this.#utilization = utilization;
     this.#turns = turns;
   }
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -135,7 +135,7 @@
       this.#intake.recordConnection();
       this.#acceptQueue.recordConnection();
       this.#load.recordConnection(socket);
-      if (this.#acceptQueue.isOverloaded) {
+      if (!this.#acceptQueue.mayServe()) {
         this.#load.recordRefusal(socket);
         sendConnectionRefusal(socket);
         return;
