--- a/packages/forwarding/src/ingress/accept_queue_monitor_test.ts
+++ b/packages/forwarding/src/ingress/accept_queue_monitor_test.ts
@@ -6,16 +6,22 @@
 
 const TURN_MILLISECONDS = 10;
 
-/** Lets turns of the event loop pass, each of which accepts a connection. */
+/**
+ * Lets turns of the event loop pass, each of which accepts a connection. Returns
+ * how many of these may be served.
+ */
 async function runAcceptingTurns(
   { clock, monitor }: ReturnType<typeof createFixture>,
   turns: number,
-): Promise<void> {
+): Promise<number> {
+  let served = 0;
   for (let turn = 0; turn < turns; turn++) {
     monitor.recordConnection();
+    served += monitor.mayServe() ? 1 : 0;
     clock.block(TURN_MILLISECONDS);
     await waitForTurn();
   }
+  return served;
 }
 
 function createFixture() {
@@ -41,4 +47,11 @@
     await runAcceptingTurns(fixture, 3);
     expect(fixture.monitor.isOverloaded).to.equal(false);
   });
+
+  it("serves a part of the connections while others wait for seconds", async () => {
+    const fixture = createFixture();
+    await runAcceptingTurns(fixture, 20);
+    const served = await runAcceptingTurns(fixture, 400);
+    expect(served).to.be.within(20, 100);
+  });
 });
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -1,4 +1,3 @@
-import type { IncomingHttpHeaders } from "node:http";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import { buildRoute } from "../testing/fixtures.ts";
@@ -8,13 +7,9 @@
 } from "../testing/departing_callers.ts";
 import { runPressingCallers } from "../testing/pressing_callers.ts";
 import { RouterHarness, sendValidResponse } from "../testing/router_harness.ts";
-import { TestDialect } from "../testing/test_dialect.ts";
-import type { CallIdentity } from "../model/call.ts";
-import type { AttemptHeaders } from "../model/dialect.ts";
+import { SlowDialect } from "../testing/slow_dialect.ts";
 
 const CALLERS = 20;
-const READ_MILLISECONDS = 1.5;
-const ATTEMPT_MILLISECONDS = 4;
 const SETTLING_MILLISECONDS = 300;
 /** A VM that accepts 250 connections a second takes these within 0.6 s. */
 const MAX_QUEUED_CONNECTIONS = 150;
@@ -88,29 +83,6 @@
   });
 });
 
-/** Takes as long for each head and attempt as a small part of a processor. */
-class SlowDialect extends TestDialect {
-  override readIdentity(headers: IncomingHttpHeaders): CallIdentity {
-    runBusyLoop(READ_MILLISECONDS);
-    return super.readIdentity(headers);
-  }
-
-  override buildHeaders(
-    rawHeaders: readonly string[],
-    attempt: AttemptHeaders,
-  ): string[] {
-    runBusyLoop(ATTEMPT_MILLISECONDS);
-    return super.buildHeaders(rawHeaders, attempt);
-  }
-}
-
-function runBusyLoop(milliseconds: number): void {
-  const endsAt = performance.now() + milliseconds;
-  while (performance.now() < endsAt) {
-    // Spends processor time.
-  }
-}
-
 function buildRequest(id: string): string {
   return [
     "POST /a/x HTTP/1.1",
--- a/packages/forwarding/src/testing/router_harness.ts
+++ b/packages/forwarding/src/testing/router_harness.ts
@@ -20,6 +20,7 @@
 import { TestDialect, TestRowDecoder } from "./test_dialect.ts";
 
 const LOOPBACK_HOST = "127.0.0.1";
+const ZONE = "zone-a";
 const FLEET_KEY = "a-fleet-key-for-tests-with-32-characters";
 const POLL_INTERVAL_MILLISECONDS = 5;
 
@@ -46,7 +47,8 @@
   isComplete: boolean;
 }
 
-interface RunningRouter {
+/** A router of a {@link RouterHarness}. */
+export interface RunningRouter {
   settings: ForwardingSettings;
   shutdown: AbortController;
   finished: Promise<void>;
@@ -93,7 +95,7 @@
   async startRouter(
     options: StartOptions = {},
   ): Promise<RunningRouter> {
-    const settings = await buildSettings(options.seeds ?? []);
+    const settings = await buildSettings(options);
     const router = new ForwardingRouter({
       settings,
       dialect: options.dialect ?? new TestDialect(),
@@ -173,6 +175,10 @@
   feed?: MemoryFeed;
   seeds?: ForwardingSettings[];
   dialect?: Dialect;
+  /** The zones of the fleet; all routers are in the first one. */
+  zones?: string[];
+  /** Routers with the largest capacity are schedulers. */
+  capacity?: number;
 }
 
 /** A caller's request. */
@@ -239,7 +245,7 @@
 }
 
 async function buildSettings(
-  seeds: ForwardingSettings[],
+  { seeds = [], zones = [ZONE], capacity }: StartOptions,
 ): Promise<ForwardingSettings> {
   const [callers, readiness, control] = await Promise.all([
     findFreePort(),
@@ -249,13 +255,14 @@
   return {
     self: {
       vm: `${LOOPBACK_HOST}:${control}`,
-      zone: "zone-a",
+      zone: ZONE,
       host: LOOPBACK_HOST,
       controlPort: control ?? 0,
       callerPort: callers ?? 0,
+      ...(capacity === undefined ? {} : { capacity }),
     },
-    zone: "zone-a",
-    zones: ["zone-a"],
+    zone: ZONE,
+    zones,
     callers: { host: LOOPBACK_HOST, port: callers ?? 0 },
     readiness: { host: LOOPBACK_HOST, port: readiness ?? 0 },
     readinessPath: "/ready",
