Serve one of eight connections while others wait to be accepted

Callers without a kept connection got nothing from a saturated VM for seconds: while connections had waited for 100 ms each new one was refused, until a turn of the event loop accepted none, and refusing alone kept that turn from coming. Cause: an admission of all or nothing. Now one connection of eight is served meanwhile; longer turns, which kept connections cause, make these fewer.

--- a/packages/forwarding/src/ingress/accept_queue_monitor.ts
+++ b/packages/forwarding/src/ingress/accept_queue_monitor.ts
@@ -5,6 +5,8 @@
 
 /** Connections that wait for longer than this are a standing queue. */
 const MAX_WAIT_MILLISECONDS = 100;
+/** While they do, one connection of this many is served. */
+const CONNECTIONS_PER_SERVED = 8;
 
 /**
  * Watches the turns of the event loop, each of which accepts one connection at
@@ -18,6 +20,8 @@
   /** The start of the turns in a row; undefined if the last accepted none. */
   #waitingSince: number | undefined;
   #hasAccepted = false;
+  /** Connections since the last one that was served. */
+  #refusedInRow = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -32,9 +36,18 @@
     }
   }
 
-  /** Whether the connection that was recorded last may be served. */
+  /**
+   * Whether the connection that was recorded last may be served. While
+   * connections wait, a part of them is served, so that callers without a kept
+   * connection have a part of the processor too: the less of it, the longer the
+   * turns of the event loop are.
+   */
   mayServe(): boolean {
-    return !this.isOverloaded;
+    this.#refusedInRow++;
+    const mayServe = !this.isOverloaded ||
+      this.#refusedInRow >= CONNECTIONS_PER_SERVED;
+    this.#refusedInRow = mayServe ? 0 : this.#refusedInRow;
+    return mayServe;
   }
 
   /** Whether connections wait for too long. */
