Take a saturated VM out of rotation while few others of its zone are

Cause: the load balancer picks the VM by a hash of the organisation (some 30 addresses were seen among the refused callers, all at one VM), and the VM said that it was ready all through.

A VM whose connections wait for 100 ms asks its scheduler, which lets an eighth of the zone's VMs leave at most and tells the other schedulers how many have. It returns after 4 s when its event loop has time, and stays out for longer when it is saturated again soon. VMs of zones with fewer than eight, and the schedulers themselves, the largest VMs, always stay. Connections that are open stay.

--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -103,6 +103,7 @@
     listZoneSchedulers: () => [],
     countZoneVms: () => 2,
     readZoneDigest: () => "digest",
+    countRotationLeases: () => 0,
     reportSilence: () => {},
   });
   const lifetime = new AbortController();
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -93,6 +93,8 @@
   countConnection: (event: ConnectionEvent) => void;
   /** Records the length of a turn of the event loop, in milliseconds. */
   recordTurn: (milliseconds: number) => void;
+  /** Called with each connection while others wait for too long. */
+  recordOverload: () => void;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
@@ -135,6 +137,9 @@
       this.#intake.recordConnection();
       this.#acceptQueue.recordConnection();
       this.#load.recordConnection(socket);
+      if (this.#acceptQueue.isOverloaded) {
+        this.#options.recordOverload();
+      }
       if (!this.#acceptQueue.mayServe()) {
         this.#load.recordRefusal(socket);
         sendConnectionRefusal(socket);
--- a/packages/protocol/src/message_checks_test.ts
+++ b/packages/protocol/src/message_checks_test.ts
@@ -47,6 +47,7 @@
     schedulers: [CONTACT],
     zoneVms: 3,
     zoneDigest: "z",
+    vmsOutOfRotation: 1,
   },
   {
     kind: MessageKind.TableChanges,
@@ -104,6 +105,7 @@
     running: [{ entry: "x.1", endpoint: "e1" }],
     schedulersDigest: "s",
     zoneDigest: "z",
+    asksToLeaveRotation: true,
   },
   {
     kind: MessageKind.MemberSyncReply,
@@ -112,6 +114,7 @@
     fleetVms: 9,
     tables: [{ table: "operator", ...AGE }],
     schedulers: [CONTACT],
+    mayLeaveRotation: true,
   },
 ];
 
@@ -122,10 +125,12 @@
     "schedulers",
     "zoneVms",
     "zoneDigest",
+    "vmsOutOfRotation",
   ],
   [MessageKind.SubmitRequest]: ["organisation", "prompt"],
   [MessageKind.AttemptEnded]: ["firstByteMilliseconds"],
-  [MessageKind.MemberSyncReply]: ["schedulers"],
+  [MessageKind.MemberSync]: ["asksToLeaveRotation"],
+  [MessageKind.MemberSyncReply]: ["schedulers", "mayLeaveRotation"],
 };
 
 const JUNK = fastCheck.oneof(
