Tell refused callers to return once the load balancer has moved them

Callers refused by a saturated VM were told to come back after 50 ms, to reach another VM. Cause: a caller's next connection reaches another VM only once this one is out of rotation, after two failed checks a second apart.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -329,6 +329,7 @@
       recordTurn: (milliseconds) => this.#metrics.recordTurn(milliseconds),
       recordOverload: () =>
         this.#rotation.recordOverload(this.#lifetime.signal),
+      computeMoveMilliseconds: () => this.#rotation.computeMoveMilliseconds(),
     });
   }
 
--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -3,18 +3,16 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 
-/** The caller's next connection reaches another VM. */
-const RETRY_AFTER_SECONDS = 0.05;
+const MILLISECONDS_PER_SECOND = 1_000;
 const BODY = '{"error":"This VM has too many connections; not run"}\n';
 const HEAD_END = "\r\n\r\n";
-const ANSWER_HEAD = [
+const ANSWER_START = [
   "HTTP/1.1 503 Service Unavailable",
   "content-type: application/json",
   `content-length: ${BODY.length}`,
-  `retry-after: ${RETRY_AFTER_SECONDS}`,
   "connection: close",
-].join("\r\n") + HEAD_END;
-const ANSWER = Buffer.from(ANSWER_HEAD + BODY);
+  "retry-after: ",
+].join("\r\n");
 const METHOD_WITHOUT_BODY = "HEAD ";
 const MAX_HEAD_BYTES = 64 * 1024;
 /** A caller that neither sends nor closes for this long is disconnected. */
@@ -26,7 +24,10 @@
  * Answers the first request of a connection with 503 and closes the connection.
  * The request is not parsed, and its body is discarded.
  */
-export function sendConnectionRefusal(socket: Socket): void {
+export function sendConnectionRefusal(
+  socket: Socket,
+  retryAfterMilliseconds: number,
+): void {
   let head = "";
   let isAnswered = false;
   socket.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => socket.destroy());
@@ -42,7 +43,9 @@
     if (head.includes(HEAD_END)) {
       isAnswered = true;
       const hasBody = !head.startsWith(METHOD_WITHOUT_BODY);
-      socket.end(hasBody ? ANSWER : ANSWER_HEAD);
+      const seconds = retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
+      const answerHead = ANSWER_START + seconds.toFixed(2) + HEAD_END;
+      socket.end(hasBody ? answerHead + BODY : answerHead, "latin1");
       head = "";
     } else if (head.length > MAX_HEAD_BYTES) {
       socket.destroy();
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -95,6 +95,11 @@
   recordTurn: (milliseconds: number) => void;
   /** Called with each connection while others wait for too long. */
   recordOverload: () => void;
+  /**
+   * After what time a caller's next connection reaches another VM; undefined if
+   * that is not known.
+   */
+  computeMoveMilliseconds: () => number | undefined;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
@@ -142,7 +147,7 @@
       }
       if (!this.#acceptQueue.mayServe()) {
         this.#load.recordRefusal(socket);
-        sendConnectionRefusal(socket);
+        sendConnectionRefusal(socket, this.#computeRetryAfter());
         return;
       }
       for (const listener of listeners) {
@@ -222,6 +227,12 @@
       isRefused && this.#acceptQueue.isOverloaded;
   }
 
+  /** When a caller that this VM cannot serve is to come back. */
+  #computeRetryAfter(): number {
+    return this.#options.computeMoveMilliseconds() ??
+      OTHER_VM_RETRY_AFTER_MILLISECONDS;
+  }
+
   /** A busy VM spends as little time as possible on what it rejects. */
   #findEarlyRejection(request: IncomingMessage): RejectionKind | undefined {
     if (this.#hasStoppedAccepting) {
@@ -299,7 +310,12 @@
       });
     }
     request.resume();
-    answer.sendLocal(REJECTION_ANSWERS[kind]);
+    const rejection = REJECTION_ANSWERS[kind];
+    answer.sendLocal(
+      kind === RejectionKind.TooManyWaiting
+        ? { ...rejection, retryAfterMilliseconds: this.#computeRetryAfter() }
+        : rejection,
+    );
   }
 
   /** Reads the complete body; undefined when it exceeds the limit. */
