Pass connections of a saturated VM on to other VMs of its zone

Cause: the load balancer picks a VM by a hash of the organisation, and a VM could use no processor but its own. The class: a bound by the VM that a caller happens to reach, not by what the zone has.

While connections wait for 100 ms, or requests that were read are refused, the VM now passes the bytes of new connections on to other VMs of its zone, members before schedulers. A request line gets 'connection: close, relayed' behind it, so that the other VM closes after its answer and passes nothing on again. A broken answer resets the caller; a connection is refused only if the other VM could not be connected to, so 'not run' is true. Callers on kept connections have to connect again meanwhile.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -305,6 +305,20 @@
     return this.#exchange.computeOldestStateAge();
   }
 
+  /**
+   * Lists the other live VMs of this VM's zone; without its schedulers if there
+   * are others, since all VMs of the zone depend on these.
+   */
+  listZonePeers(): VmContact[] {
+    const { zone, self } = this.#options.settings;
+    const peers = this.#membership.listLive(zone).filter(({ vm }) =>
+      vm !== self.vm
+    );
+    const schedulers = new Set(this.#roles.schedulers.map(({ vm }) => vm));
+    const members = peers.filter(({ vm }) => !schedulers.has(vm));
+    return members.length > 0 ? members : peers;
+  }
+
   /** Lists the live VMs of this VM's zone. */
   listZoneVms(): VmId[] {
     const { zone } = this.#options.settings;
--- a/packages/forwarding/src/fleet/rotation_test.ts
+++ b/packages/forwarding/src/fleet/rotation_test.ts
@@ -39,7 +39,7 @@
 let harness = new RouterHarness();
 
 /** Load: all callers of an organisation reach one VM of a large zone. */
-describe("A VM in the rotation of the load balancer", () => {
+describe("A VM whose callers saturate it", () => {
   beforeEach(() => {
     harness = new RouterHarness();
     harness.applyConfiguration({ routes: [buildRoute()] });
@@ -47,7 +47,7 @@
 
   afterEach(() => harness.stop());
 
-  it("leaves it while its callers saturate it, alone, and returns", async () => {
+  it("leaves the rotation, alone, and returns", async () => {
     await harness.startEndpoint("e1", sendValidResponse);
     const first = await harness.startReadyRouter({ zones: ZONES, capacity: 2 });
     const seeds = [first.settings];
--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -22,24 +22,22 @@
 
 /**
  * Answers the first request of a connection with 503 and closes the connection.
- * The request is not parsed, and its body is discarded.
+ * The request is not parsed, and its body is discarded. Bytes that were read
+ * from the connection before are passed as `received`.
  */
 export function sendConnectionRefusal(
   socket: Socket,
   retryAfterMilliseconds: number,
+  received = "",
 ): void {
-  let head = "";
+  let head = received;
   let isAnswered = false;
   socket.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => socket.destroy());
   const lifetime = setTimeout(() => socket.destroy(), LIFETIME_MILLISECONDS);
   socket.once("close", () => clearTimeout(lifetime));
   socket.on("error", () => socket.destroy());
   socket.on("end", () => isAnswered || socket.destroy());
-  socket.on("data", (chunk: Uint8Array) => {
-    if (isAnswered) {
-      return;
-    }
-    head += Buffer.from(chunk).toString("latin1");
+  const answerWhenHeadEnds = () => {
     if (head.includes(HEAD_END)) {
       isAnswered = true;
       const hasBody = !head.startsWith(METHOD_WITHOUT_BODY);
@@ -50,5 +48,13 @@
     } else if (head.length > MAX_HEAD_BYTES) {
       socket.destroy();
     }
+  };
+  socket.on("data", (chunk: Uint8Array) => {
+    if (!isAnswered) {
+      head += Buffer.from(chunk).toString("latin1");
+      answerWhenHeadEnds();
+    }
   });
+  answerWhenHeadEnds();
+  socket.resume();
 }
--- /dev/null
+++ b/packages/forwarding/src/ingress/connection_relay.ts
@@ -0,0 +1,179 @@
+/** Passes connections of callers on to other VMs while this one is saturated. */
+
+import { Buffer } from "node:buffer";
+import { connect, type Socket } from "node:net";
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
+import type { VmContact, VmId } from "@rattanvane/protocol";
+
+/** Bounds the processor time and the descriptors that relaying takes. */
+const MAX_RELAYED_CONNECTIONS = 128;
+const CONNECT_TIMEOUT_MILLISECONDS = 400;
+/** A caller that sends no request line for this long is disconnected. */
+const REQUEST_LINE_TIMEOUT_MILLISECONDS = 1_000;
+const MAX_REQUEST_LINE_BYTES = 64 * 1024;
+/** A VM that could not be connected to gets no connections for this time. */
+const AVOIDANCE_MILLISECONDS = 2_000;
+const LINE_END = "\r\n";
+/** A line that begins with one of these would continue the added header. */
+const FOLDING = new Set([" ", "\t"]);
+/**
+ * Added after the request line. The other VM closes the connection after its
+ * answer and passes it on to no third one.
+ */
+const RELAY_HEADER = "connection: close, relayed";
+
+/** Dependencies of a {@link ConnectionRelay}. */
+export interface ConnectionRelayOptions {
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** The local IP address to connect from. */
+  host: string;
+  /** Lists the other live VMs of this VM's zone. */
+  listPeers: () => readonly VmContact[];
+  /** Refuses a connection from which these bytes were read. */
+  refuse: (socket: Socket, received: string) => void;
+}
+
+/**
+ * Passes on the bytes of a connection, which takes a small part of the time that
+ * serving its request takes. One request is served on a relayed connection. No
+ * request is sent twice: a connection is refused here only if the other VM could
+ * not be connected to.
+ *
+ * Load: all callers of an organisation reach one VM, whose processor cannot
+ * serve them, while others of its zone have time.
+ */
+export class ConnectionRelay {
+  readonly #options: ConnectionRelayOptions;
+  readonly #avoidedUntil = new Map<VmId, number>();
+  #open = 0;
+
+  constructor(options: ConnectionRelayOptions) {
+    this.#options = options;
+  }
+
+  /** The number of connections that are passed on. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /** Whether another connection can be passed on. */
+  get hasRoom(): boolean {
+    return this.#open < MAX_RELAYED_CONNECTIONS &&
+      this.#listUsablePeers().length > 0;
+  }
+
+  /** Passes a new connection on; false if there is no room or no other VM. */
+  start(socket: Socket): boolean {
+    const peer = this.#open < MAX_RELAYED_CONNECTIONS
+      ? this.#options.random.pick(this.#listUsablePeers())
+      : undefined;
+    if (peer === undefined) {
+      return false;
+    }
+    this.#open++;
+    socket.once("close", () => this.#open--);
+    socket.on("error", () => socket.destroy());
+    this.#readRequestLine(
+      socket,
+      (received) => this.#connect(socket, peer, received),
+    );
+    return true;
+  }
+
+  #listUsablePeers(): VmContact[] {
+    const now = this.#options.clock.now();
+    return this.#options.listPeers().filter(({ vm }) =>
+      now >= (this.#avoidedUntil.get(vm) ?? -Infinity)
+    );
+  }
+
+  #readRequestLine(
+    socket: Socket,
+    proceed: (received: string) => void,
+  ): void {
+    let received = "";
+    const destroy = () => socket.destroy();
+    socket.setTimeout(REQUEST_LINE_TIMEOUT_MILLISECONDS, destroy);
+    socket.on("end", destroy);
+    const receive = (chunk: Uint8Array) => {
+      received += Buffer.from(chunk).toString("latin1");
+      if (findHeaderStart(received) > 0) {
+        socket.setTimeout(0);
+        socket.off("data", receive).off("end", destroy).pause();
+        proceed(received);
+      } else if (received.length > MAX_REQUEST_LINE_BYTES) {
+        destroy();
+      }
+    };
+    socket.on("data", receive);
+  }
+
+  #connect(socket: Socket, peer: VmContact, received: string): void {
+    const { host: localAddress, refuse } = this.#options;
+    const start = findHeaderStart(received);
+    const isFolded = FOLDING.has(received.charAt(start));
+    if (isFolded || received.startsWith(RELAY_HEADER, start)) {
+      refuse(socket, received);
+      return;
+    }
+    let isConnected = false;
+    const { host, callerPort: port } = peer;
+    const upstream = connect({ host, port, localAddress, noDelay: true });
+    const timer = setTimeout(
+      () => upstream.destroy(new Error("The connection timed out")),
+      CONNECT_TIMEOUT_MILLISECONDS,
+    );
+    upstream.once("connect", () => {
+      isConnected = true;
+      clearTimeout(timer);
+      upstream.write(addRelayHeader(received, start), "latin1");
+      socket.pipe(upstream);
+      upstream.pipe(socket);
+    });
+    upstream.once("error", (error) => {
+      clearTimeout(timer);
+      if (isConnected) {
+        // A truncated answer must not look complete.
+        socket.resetAndDestroy();
+      } else if (!socket.destroyed) {
+        this.#recordFailure(peer, error);
+        refuse(socket, received);
+      }
+    });
+    socket.once("close", () => upstream.destroy());
+  }
+
+  #recordFailure({ vm }: VmContact, error: Error): void {
+    const { clock, logger } = this.#options;
+    this.#avoidedUntil.set(vm, clock.now() + AVOIDANCE_MILLISECONDS);
+    logger.info("a connection could not be passed on to another VM", {
+      vm,
+      reason: describeError(error),
+    });
+  }
+}
+
+/**
+ * Finds the end of the request line, which is after its first line end; 0 if
+ * nothing after it was received.
+ */
+function findHeaderStart(received: string): number {
+  let start = 0;
+  while (received.startsWith(LINE_END, start)) {
+    start += LINE_END.length;
+  }
+  const end = received.indexOf(LINE_END, start) + LINE_END.length;
+  return end < LINE_END.length || end >= received.length ? 0 : end;
+}
+
+function addRelayHeader(received: string, start: number): string {
+  return received.slice(0, start) + RELAY_HEADER + LINE_END +
+    received.slice(start);
+}
--- a/packages/forwarding/src/ingress/ingress_load.ts
+++ b/packages/forwarding/src/ingress/ingress_load.ts
@@ -22,6 +22,8 @@
   dropped: number;
   /** Connections that were refused, since others had waited for too long. */
   refused: number;
+  /** Connections that were passed on to another VM for the same reason. */
+  relayed: number;
   /** Requests that were the first of their connection. */
   firstRequests: number;
   laterRequests: number;
@@ -46,6 +48,8 @@
   Dropped = "dropped",
   /** Its request was refused unread, since connections waited for too long. */
   Refused = "refused",
+  /** It was passed on to another VM, since connections waited for too long. */
+  Relayed = "relayed",
 }
 
 /**
@@ -104,6 +108,13 @@
     this.#options.countConnection(ConnectionEvent.Refused);
   }
 
+  /** Counts a connection that is passed on to another VM. */
+  recordRelay(socket: Socket): void {
+    this.#requests.set(socket, 0);
+    this.#counts.relayed++;
+    this.#options.countConnection(ConnectionEvent.Relayed);
+  }
+
   /** Counts a request whose head was read. */
   recordRequest(socket: Socket): void {
     const earlier = this.#requests.get(socket) ?? 0;
@@ -178,6 +189,7 @@
     leftUnread: 0,
     dropped: 0,
     refused: 0,
+    relayed: 0,
     firstRequests: 0,
     laterRequests: 0,
     leftWaiting: 0,
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -9,13 +9,20 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type Clock, describeError, type Logger } from "@rattanvane/base";
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
+import type { VmContact } from "@rattanvane/protocol";
 import type { ForwardedCall } from "../model/call.ts";
 import type { CallerLimits } from "../model/route.ts";
 import { AcceptQueueMonitor } from "./accept_queue_monitor.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
 import { sendConnectionRefusal } from "./connection_refuser.ts";
+import { ConnectionRelay } from "./connection_relay.ts";
 import { type ConnectionEvent, IngressLoad } from "./ingress_load.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 
@@ -35,6 +42,9 @@
 /** Bounds the memory of requests that were read and not begun. */
 const MAX_INTAKE_PER_ORGANISATION = 100;
 
+/** A VM counts as saturated for this time after it rejected a request. */
+const SATURATION_MILLISECONDS = 200;
+
 const STATUS_INTERNAL = 500;
 /** A common reason, since creating one for each request takes time. */
 const CLOSED_REASON = new Error("The response was closed");
@@ -75,8 +85,11 @@
   host: string;
   port: number;
   clock: Clock;
+  random: RandomSource;
   logger: Logger;
   reader: CallReader;
+  /** Lists the other live VMs of this VM's zone. */
+  listPeers: () => readonly VmContact[];
   /** The current limits; undefined before the first configuration. */
   findLimits: () => CallerLimits | undefined;
   /** Whether connections are to be closed after their next answer. */
@@ -108,8 +121,11 @@
   readonly #server: Server;
   readonly #intake: IntakeQueue;
   readonly #load: IngressLoad;
+  readonly #relay: ConnectionRelay;
   readonly #acceptQueue: AcceptQueueMonitor;
   #active = 0;
+  /** When a request was last rejected because too many wait to be begun. */
+  #rejectedAt = -Infinity;
   /** Keep-alive connections may still deliver requests afterwards. */
   #hasStoppedAccepting = false;
 
@@ -131,6 +147,13 @@
     this.#server.maxConnections = MAX_CONNECTIONS;
     this.#server.on("drop", () => this.#load.recordDrop());
     this.#acceptQueue = new AcceptQueueMonitor(options.clock);
+    this.#relay = new ConnectionRelay({
+      ...options,
+      refuse: (socket, received) => {
+        this.#load.recordRefusal(socket);
+        sendConnectionRefusal(socket, this.#computeRetryAfter(), received);
+      },
+    });
     this.#interceptConnections();
   }
 
@@ -142,8 +165,11 @@
       this.#intake.recordConnection();
       this.#acceptQueue.recordConnection();
       this.#load.recordConnection(socket);
-      if (this.#acceptQueue.isOverloaded) {
+      if (this.#isSaturated) {
         this.#options.recordOverload();
+        if (this.#relayConnection(socket)) {
+          return;
+        }
       }
       if (!this.#acceptQueue.mayServe()) {
         this.#load.recordRefusal(socket);
@@ -156,9 +182,24 @@
     });
   }
 
+  /** Whether connections wait, or requests that were read, for too long. */
+  get #isSaturated(): boolean {
+    const sinceRejection = this.#options.clock.now() - this.#rejectedAt;
+    return this.#acceptQueue.isOverloaded ||
+      sinceRejection < SATURATION_MILLISECONDS;
+  }
+
+  #relayConnection(socket: Socket): boolean {
+    const isRelayed = !this.#options.isLeaving() && this.#relay.start(socket);
+    if (isRelayed) {
+      this.#load.recordRelay(socket);
+    }
+    return isRelayed;
+  }
+
   /** The number of requests that are not answered yet. */
   get active(): number {
-    return this.#active;
+    return this.#active + this.#relay.open;
   }
 
   /** Reports how the event loop keeps up until the signal aborts. */
@@ -219,12 +260,14 @@
 
   /**
    * While new connections wait, a refused caller has to connect again, which
-   * takes less time than to read and refuse its next request.
+   * takes less time than to read and refuse its next request. So does every
+   * caller that another VM can serve then.
    */
   #shouldClose(isRefused: boolean): boolean {
     return this.#options.isLeaving() ||
       this.#load.openConnections > MAX_KEPT_CONNECTIONS ||
-      isRefused && this.#acceptQueue.isOverloaded;
+      this.#acceptQueue.isOverloaded && isRefused ||
+      this.#isSaturated && this.#relay.hasRoom;
   }
 
   /** When a caller that this VM cannot serve is to come back. */
@@ -301,6 +344,9 @@
     kind: RejectionKind,
   ): void {
     this.#options.countRejection(kind);
+    if (kind === RejectionKind.TooManyWaiting) {
+      this.#rejectedAt = this.#options.clock.now();
+    }
     if (this.#load.mayLogRejection()) {
       this.#options.logger.info("a request was not admitted", {
         reason: kind,
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -1,13 +1,29 @@
+import { once } from "node:events";
+import { createServer as createHttpServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  createSilentLogger,
+  RandomSource,
+  SystemClock,
+} from "@rattanvane/base";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
-import { buildRoute } from "../testing/fixtures.ts";
+import { RouteTable } from "../model/route_table.ts";
+import { buildConfiguration, buildRoute } from "../testing/fixtures.ts";
 import {
   countEstablishedConnections,
   runDepartingCallers,
 } from "../testing/departing_callers.ts";
 import { runPressingCallers } from "../testing/pressing_callers.ts";
-import { RouterHarness, sendValidResponse } from "../testing/router_harness.ts";
-import { SlowDialect } from "../testing/slow_dialect.ts";
+import {
+  findFreePort,
+  RouterHarness,
+  sendValidResponse,
+} from "../testing/router_harness.ts";
+import { runBusyLoop, SlowDialect } from "../testing/slow_dialect.ts";
+import { TestDialect } from "../testing/test_dialect.ts";
+import { CallReader } from "./call_reader.ts";
+import { IngressServer } from "./ingress_server.ts";
 
 const CALLERS = 20;
 const SETTLING_MILLISECONDS = 300;
@@ -24,6 +40,11 @@
   milliseconds: 5_000,
 };
 
+const HOST = "127.0.0.1";
+const SERVING_MILLISECONDS = 6;
+/** A VM that takes 6 ms for each of 400 callers a second serves 0.42 at best. */
+const MIN_SERVED_FRACTION = 0.8;
+
 let harness = new RouterHarness();
 
 /** Load: a VM that was busy while callers sent their requests and gave up. */
@@ -72,6 +93,24 @@
     expect(answered / tried).to.be.at.least(0.5);
   });
 
+  it("has another VM serve the callers that it cannot", async () => {
+    const peer = createHttpServer((_request, response) => response.end());
+    peer.listen(0, HOST);
+    await once(peer, "listening");
+    const lifetime = new AbortController();
+    const port = await startBusyServer(peer, lifetime.signal);
+    const { tried, served } = await runPressingCallers({
+      ...PRESSING_LOAD,
+      host: HOST,
+      port,
+      keptCallers: 0,
+      newPerSecond: 400,
+    });
+    lifetime.abort();
+    peer.close();
+    expect(served / tried).to.be.at.least(MIN_SERVED_FRACTION);
+  });
+
   it("keeps few connections that it does not accept", async () => {
     const router = await harness.startReadyRouter();
     const established = await countEstablishedConnections({
@@ -83,6 +122,50 @@
   });
 });
 
+/** Starts a server whose requests take long, beside another VM. */
+async function startBusyServer(
+  peer: Server,
+  signal: AbortSignal,
+): Promise<number> {
+  const clock = new SystemClock();
+  const random = new RandomSource(1);
+  const routes = new RouteTable(buildConfiguration({ routes: [buildRoute()] }));
+  const { port: callerPort } = peer.address() as AddressInfo;
+  const contact = { vm: "vm-2", zone: "zone-a", host: HOST, controlPort: 1 };
+  const port = await findFreePort();
+  const server = new IngressServer({
+    host: HOST,
+    port,
+    clock,
+    random,
+    logger: createSilentLogger(),
+    reader: new CallReader({
+      dialect: new TestDialect(),
+      clock,
+      random,
+      findRoutes: () => routes,
+      areKeysFresh: () => true,
+      waitForKeys: () => Promise.resolve(true),
+    }),
+    listPeers: () => [{ ...contact, callerPort }],
+    findLimits: () => undefined,
+    isLeaving: () => false,
+    findRejection: () => undefined,
+    serve: (_call, answer) => {
+      runBusyLoop(SERVING_MILLISECONDS);
+      answer.sendLocal({ status: 200, reason: "" });
+      return Promise.resolve();
+    },
+    countRejection: () => {},
+    countConnection: () => {},
+    recordTurn: () => {},
+    recordOverload: () => {},
+    computeMoveMilliseconds: () => undefined,
+  });
+  await server.start(signal);
+  return port;
+}
+
 function buildRequest(id: string): string {
   return [
     "POST /a/x HTTP/1.1",
--- a/packages/forwarding/src/testing/pressing_callers.ts
+++ b/packages/forwarding/src/testing/pressing_callers.ts
@@ -11,7 +11,7 @@
   patienceMilliseconds, warmUpMilliseconds, milliseconds,
 } = workerData;
 const TICK_MILLISECONDS = 5;
-const counts = { tried: 0, answered: 0, kept: 0 };
+const counts = { tried: 0, answered: 0, served: 0, kept: 0 };
 const startedAt = Date.now();
 
 function readStatus(chunk) {
@@ -35,8 +35,9 @@
   counts.tried += counted ? 1 : 0;
   const socket = connect(port, host, () => socket.write(request));
   const patience = setTimeout(() => socket.destroy(), patienceMilliseconds);
-  socket.on("data", () => {
+  socket.on("data", (chunk) => {
     counts.answered += counted ? 1 : 0;
+    counts.served += counted && readStatus(chunk) === 200 ? 1 : 0;
     socket.destroy();
   });
   socket.on("error", () => socket.destroy());
@@ -88,6 +89,8 @@
   /** New connections after the warm-up, and those that had an answer. */
   tried: number;
   answered: number;
+  /** Those that were not refused. */
+  served: number;
   /** Answers on kept connections. */
   kept: number;
 }
--- a/packages/forwarding/src/testing/router_harness.ts
+++ b/packages/forwarding/src/testing/router_harness.ts
@@ -280,7 +280,8 @@
   };
 }
 
-async function findFreePort(): Promise<number> {
+/** Finds a port of the loopback interface that nothing listens on. */
+export async function findFreePort(): Promise<number> {
   const server = createSocketServer();
   server.listen(0, LOOPBACK_HOST);
   await once(server, "listening");
--- a/packages/forwarding/src/testing/slow_dialect.ts
+++ b/packages/forwarding/src/testing/slow_dialect.ts
@@ -24,7 +24,8 @@
   }
 }
 
-function runBusyLoop(milliseconds: number): void {
+/** Spends processor time. */
+export function runBusyLoop(milliseconds: number): void {
   const endsAt = performance.now() + milliseconds;
   while (performance.now() < endsAt) {
     // Spends processor time.
