Tell refused callers to wait for a move only while one is expected

A saturated VM whose scheduler does not let it leave the rotation went on telling refused callers to come back after two seconds, to another VM that they do not reach. It is told now only while the VM is out, or has asked in the last 700 ms.

--- a/packages/forwarding/src/ingress/rotation_controller.ts
+++ b/packages/forwarding/src/ingress/rotation_controller.ts
@@ -6,6 +6,8 @@
 const CHECK_MILLISECONDS = 100;
 /** How long a VM asks to leave after connections have waited for too long. */
 const ASKING_MILLISECONDS = 1_000;
+/** A scheduler that has not agreed within this time does not agree. */
+const REPLY_MILLISECONDS = 700;
 const FIRST_LEAVE_MILLISECONDS = 4_000;
 const MAX_FIRST_LEAVE_MILLISECONDS = 16_000;
 /** A VM that is saturated again within this time stays out for twice as long. */
@@ -50,6 +52,8 @@
   readonly #options: RotationControllerOptions;
   readonly #measureUtilization: () => number;
   #overloadedAt = -Infinity;
+  /** When this VM began to ask. */
+  #askedAt = -Infinity;
   #isRunning = false;
   /** When the VM left the rotation; undefined while it is in. */
   #leftAt: number | undefined;
@@ -80,11 +84,14 @@
    */
   computeMoveMilliseconds(): number | undefined {
     const { clock, random, hasScheduler } = this.#options;
-    if (!this.#isRunning || !hasScheduler()) {
+    const now = clock.now();
+    const isExpected = this.#isRunning && hasScheduler() &&
+      now - this.#askedAt < REPLY_MILLISECONDS;
+    const leftAt = this.#leftAt ?? (isExpected ? now : undefined);
+    if (leftAt === undefined) {
       return undefined;
     }
-    const leftAt = this.#leftAt ?? clock.now();
-    const remaining = leftAt + BALANCER_REACTION_MILLISECONDS - clock.now();
+    const remaining = leftAt + BALANCER_REACTION_MILLISECONDS - now;
     return Math.max(0, remaining) +
       random.nextFraction() * SPREAD_MILLISECONDS;
   }
@@ -95,6 +102,7 @@
     this.#overloadedAt = clock.now();
     if (!this.#isRunning) {
       this.#isRunning = true;
+      this.#askedAt = this.#overloadedAt;
       askSoon();
       void this.#run(signal);
     }
--- a/packages/forwarding/src/ingress/rotation_controller_test.ts
+++ b/packages/forwarding/src/ingress/rotation_controller_test.ts
@@ -93,4 +93,14 @@
     await clock.advance(1_000);
     expect(rotation.computeMoveMilliseconds()).to.be.within(0, 400);
   });
+
+  it("does not tell so when the scheduler does not agree", async () => {
+    const { clock, scheduler, rotation, recordOverload } = createFixture();
+    scheduler.mayLeave = false;
+    recordOverload();
+    await clock.advance(800);
+    recordOverload();
+    expect(rotation.isAsking).to.equal(true);
+    expect(rotation.computeMoveMilliseconds()).to.equal(undefined);
+  });
 });
