Renew leaves of the rotation by the rank of the schedulers that gave them

When many VMs of a zone are saturated at one moment, as after a restart, each scheduler of the zone let an eighth of its VMs leave before it heard of the others, and all of these leaves were renewed: the rest of the zone would have got the callers. Held leases are now renewed only up to the limit, counting those of schedulers with a higher rank.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -182,6 +182,10 @@
     this.#rotation = new RotationAllowance({
       clock,
       countZoneVms: () => this.#roles.zoneVms,
+      listHigherRanked: () => {
+        const schedulers = this.#roles.schedulers.map(({ vm }) => vm);
+        return schedulers.slice(0, schedulers.indexOf(self.vm));
+      },
     });
     this.#exchange = this.#createExchange();
     this.#sync = new MemberSync({
--- a/packages/forwarding/src/fleet/rotation_allowance.ts
+++ b/packages/forwarding/src/fleet/rotation_allowance.ts
@@ -13,6 +13,7 @@
   clock: Clock;
   /** Counts the live VMs of this VM's zone. */
   countZoneVms: () => number;
+  listHigherRanked: () => readonly VmId[];
 }
 
 interface PeerLeases {
--- a/packages/forwarding/src/fleet/rotation_allowance_test.ts
+++ b/packages/forwarding/src/fleet/rotation_allowance_test.ts
@@ -8,6 +8,7 @@
   const allowance = new RotationAllowance({
     clock,
     countZoneVms: () => zoneVms,
+    listHigherRanked: () => ["scheduler-1"],
   });
   return { clock, allowance };
 }
@@ -35,6 +36,17 @@
     expect(allowance.renew("a")).to.equal(true);
   });
 
+  it("renews no lease that a scheduler of a higher rank granted as well", () => {
+    const { allowance } = createFixture(17);
+    allowance.renew("a");
+    allowance.renew("b");
+    allowance.mergePeer("scheduler-3", 2);
+    expect(allowance.renew("a")).to.equal(true);
+    allowance.mergePeer("scheduler-1", 1);
+    expect(allowance.renew("a")).to.equal(true);
+    expect(allowance.renew("b")).to.equal(false);
+  });
+
   it("forgets the leases of a scheduler that sends nothing", async () => {
     const { clock, allowance } = createFixture(8);
     allowance.mergePeer("scheduler-2", 1);
