--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -37,7 +37,6 @@
 import type { FleetState } from "../state/fleet_state.ts";
 import { hashSchedulers, MemberSync } from "./member_sync.ts";
 import { MembershipGossip } from "./membership_gossip.ts";
-import { RotationAllowance } from "./rotation_allowance.ts";
 import { SchedulerDirectory } from "./scheduler_directory.ts";
 import { SchedulerRoles } from "./scheduler_roles.ts";
 import { StateExchange } from "./state_exchange.ts";
@@ -87,8 +86,6 @@
   listSchedulers: () => Iterable<ServiceScheduler>;
   /** Counts a running attempt at an endpoint; undefined if it is not known. */
   adoptAttempt: (endpoint: string) => AdoptedAttempt | undefined;
-  /** Whether this VM asks to be out of the load balancer's rotation. */
-  asksToLeaveRotation: () => boolean;
   /** Creates the connections; by default over TCP. */
   createNetwork?: (receive: ReceiveMessage) => ControlNetwork;
 }
@@ -108,7 +105,6 @@
   readonly #tables: TableDistributor;
   readonly #exchange: StateExchange;
   readonly #sync: MemberSync;
-  readonly #rotation: RotationAllowance;
   readonly #vmList: VmList;
   /** The schedulers of other zones, as this VM's scheduler named them. */
   #namedSchedulers: readonly VmContact[] = [];
@@ -179,21 +175,12 @@
       computeHold: () => state.directory.holdMilliseconds,
       extendHold: (milliseconds) => state.directory.extendHold(milliseconds),
     });
-    this.#rotation = new RotationAllowance({
-      clock,
-      countZoneVms: () => this.#roles.zoneVms,
-      listHigherRanked: () => {
-        const schedulers = this.#roles.schedulers.map(({ vm }) => vm);
-        return schedulers.slice(0, schedulers.indexOf(self.vm));
-      },
-    });
     this.#exchange = this.#createExchange();
     this.#sync = new MemberSync({
       selector: this.#selector,
       admission: this.#remote,
       tables: this.#tables,
       readZoneDigest: () => this.#membership.zoneDigest,
-      asksToLeaveRotation: options.asksToLeaveRotation,
       freshness: state.configuration.freshness,
       sender,
       clock,
@@ -289,16 +276,6 @@
     return this.#roles.isFollower;
   }
 
-  /** Whether this VM may be out of the load balancer's rotation now. */
-  get mayLeaveRotation(): boolean {
-    return this.scheduler !== undefined && this.#sync.mayLeaveRotation;
-  }
-
-  /** Asks the scheduler now, not with the next regular message. */
-  askToLeaveRotation(): void {
-    this.#sync.sendSoon();
-  }
-
   /** Counts the schedulers that sent their state recently. */
   countLiveSchedulers(): number {
     return this.#exchange.countLive();
@@ -399,7 +376,6 @@
       listZoneSchedulers: () => this.#roles.schedulers,
       countZoneVms: () => this.#roles.zoneVms,
       readZoneDigest: () => this.#membership.zoneDigest,
-      countRotationLeases: () => this.#rotation.leases,
       reportSilence: (vm) => this.#membership.checkSilentVm(vm),
     });
   }
@@ -480,9 +456,6 @@
         ...(zoneVms === undefined ? {} : { vms: zoneVms }),
       });
     }
-    if (sender?.zone === this.#options.settings.zone) {
-      this.#rotation.mergePeer(from, message.vmsOutOfRotation ?? 0);
-    }
     this.#compareZone(from, { zone: sender?.zone, digest: message.zoneDigest });
     if (this.#roles.isScheduler) {
       this.#directory.recordSender(from);
@@ -521,7 +494,6 @@
     const schedulers = this.#directory.listOtherZones();
     const isListed = hashSchedulers(schedulers) === message.schedulersDigest;
     const vms = this.countVms();
-    const mayLeaveRotation = this.#decideRotation(from, message);
     this.#network.send(from, {
       kind: MessageKind.MemberSyncReply,
       sequence: message.sequence,
@@ -529,21 +501,6 @@
       fleetVms: Number.isFinite(vms) ? vms : 0,
       tables: this.#tables.listAges(),
       ...(isListed ? {} : { schedulers }),
-      ...(mayLeaveRotation ? { mayLeaveRotation } : {}),
     });
   }
-
-  /** Whether a member may be out of rotation; one of another zone may not. */
-  #decideRotation(from: VmId, message: MemberSyncMessage): boolean {
-    const { logger } = this.#options;
-    if (message.asksToLeaveRotation !== true) {
-      this.#rotation.remove(from);
-      return false;
-    }
-    const isOfZone = this.#roles.isScheduler &&
-      this.listZoneVms().includes(from);
-    const mayLeave = isOfZone && this.#rotation.renew(from);
-    logger.debug("a VM asks to leave the rotation", { vm: from, mayLeave });
-    return mayLeave;
-  }
 }
--- a/packages/forwarding/src/fleet/member_sync.ts
+++ b/packages/forwarding/src/fleet/member_sync.ts
@@ -1,13 +1,7 @@
 /** Keeps this VM in step with the scheduler of its requests. */
 
 import { createHash } from "node:crypto";
-import {
-  ChildAbort,
-  type Clock,
-  createLifetime,
-  Emitter,
-  type Logger,
-} from "@rattanvane/base";
+import { type Clock, Emitter, type Logger } from "@rattanvane/base";
 import {
   type MemberSyncReplyMessage,
   MessageKind,
@@ -18,7 +12,6 @@
 import type { RemoteAdmission } from "../admission/remote_admission.ts";
 import type { SchedulerSelector } from "../admission/scheduler_selector.ts";
 import type { ClockReading, Freshness } from "../state/freshness.ts";
-import { LEASE_MILLISECONDS } from "./rotation_allowance.ts";
 import type { TableDistributor } from "./table_distributor.ts";
 
 const SYNC_PERIOD_MILLISECONDS = 400;
@@ -33,8 +26,6 @@
   tables: TableDistributor;
   /** The digest of the live VMs in this VM's zone. */
   readZoneDigest: () => string;
-  /** Whether this VM asks to be out of the load balancer's rotation. */
-  asksToLeaveRotation: () => boolean;
   /** Reads both clocks when a sync is sent. */
   freshness: Freshness;
   sender: MessageSender;
@@ -59,9 +50,6 @@
   #sequence = 0;
   #fleetVms = 0;
   #schedulersDigest = "";
-  /** When the leave to be out of rotation ends. */
-  #leaveEndsAt = -Infinity;
-  #intervalAbort = new ChildAbort(createLifetime().signal);
 
   constructor(options: MemberSyncOptions) {
     this.#options = options;
@@ -72,16 +60,6 @@
     return this.#fleetVms;
   }
 
-  /** Whether the scheduler lets this VM be out of rotation. */
-  get mayLeaveRotation(): boolean {
-    return this.#options.clock.now() < this.#leaveEndsAt;
-  }
-
-  /** Sends a sync now instead of at the end of the period. */
-  sendSoon(): void {
-    this.#intervalAbort.abort();
-  }
-
   /** Sends syncs until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, selector } = this.#options;
@@ -91,9 +69,7 @@
       if (scheduler !== undefined) {
         this.#send(scheduler);
       }
-      this.#intervalAbort = new ChildAbort(signal);
-      await clock.sleep(SYNC_PERIOD_MILLISECONDS, this.#intervalAbort.signal);
-      this.#intervalAbort.abort();
+      await clock.sleep(SYNC_PERIOD_MILLISECONDS, signal);
     }
   }
 
@@ -113,9 +89,6 @@
       tables.mergeAge(from, age, sent.sentAt);
     }
     this.#fleetVms = message.fleetVms;
-    this.#leaveEndsAt = message.mayLeaveRotation === true
-      ? sent.sentAt.steady + LEASE_MILLISECONDS
-      : -Infinity;
     if (message.schedulers !== undefined) {
       this.#schedulersDigest = hashSchedulers(message.schedulers);
       this.schedulerLists.emit(message.schedulers);
@@ -139,9 +112,6 @@
       running: admission.listRunning(),
       schedulersDigest: this.#schedulersDigest,
       zoneDigest: this.#options.readZoneDigest(),
-      ...(this.#options.asksToLeaveRotation()
-        ? { asksToLeaveRotation: true }
-        : {}),
     });
   }
 
--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -74,8 +74,6 @@
   listZoneSchedulers: () => readonly VmContact[];
   countZoneVms: () => number;
   readZoneDigest: () => string;
-  /** Counts the VMs of the zone that this VM lets out of rotation. */
-  countRotationLeases: () => number;
   /** Called when a peer's state is overdue. */
   reportSilence: (vm: VmId) => void;
 }
@@ -222,7 +220,6 @@
     const { crashes, soundParts } = this.#options.crashes.listReports();
     const departures = this.#options.directory.listDepartures();
     const limits = this.#options.limits.list();
-    const vmsOutOfRotation = this.#options.countRotationLeases();
     const configurationAge = buildAge(configuration);
     const registrations = buildAge(this.#options.endpoints);
     return {
@@ -239,7 +236,6 @@
       ...(soundParts.length === 0 ? {} : { soundParts }),
       ...(departures.length === 0 ? {} : { departures }),
       ...(limits.length === 0 ? {} : { limits }),
-      ...(vmsOutOfRotation === 0 ? {} : { vmsOutOfRotation }),
       ...(configurationAge === undefined
         ? {}
         : { configuration: configurationAge }),
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -25,7 +25,6 @@
 import { IngressServer } from "./ingress/ingress_server.ts";
 import { RunDurations } from "./ingress/run_durations.ts";
 import { ReadinessServer } from "./ingress/readiness_server.ts";
-import { RotationController } from "./ingress/rotation_controller.ts";
 import { ForwardingMetrics } from "./metrics/forwarding_metrics.ts";
 import type { ForwardedCall } from "./model/call.ts";
 import type { Dialect } from "./model/dialect.ts";
@@ -86,7 +85,6 @@
   readonly #prober: EndpointProber;
   readonly #ingress: IngressServer;
   readonly #readiness: ReadinessServer;
-  readonly #rotation: RotationController;
   readonly #durations = new RunDurations();
   #phase = RouterPhase.Starting;
   /** When running requests are aborted. */
@@ -175,16 +173,7 @@
       isPaused: (endpoint) => this.#pauses.endpoints.has(endpoint),
       listSchedulers: () => this.#services.listSchedulers(),
       adoptAttempt: (endpoint) => this.#services.adoptAttempt(endpoint),
-      asksToLeaveRotation: () => this.#rotation.isAsking,
     }, signal);
-    this.#rotation = new RotationController({
-      clock,
-      logger: logger.forPart("ingress"),
-      random: this.#random,
-      mayLeave: () => this.#fleet.mayLeaveRotation,
-      hasScheduler: () => this.#fleet.scheduler !== undefined,
-      askSoon: () => this.#fleet.askToLeaveRotation(),
-    });
     this.#ingress = this.#createIngress();
     this.#readiness = new ReadinessServer({
       listen: settings.readiness,
@@ -329,9 +318,6 @@
       countRejection: (kind) => this.#metrics.recordRejection(kind),
       countConnection: (event) => this.#metrics.recordConnection(event),
       recordTurn: (milliseconds) => this.#metrics.recordTurn(milliseconds),
-      recordOverload: () =>
-        this.#rotation.recordOverload(this.#lifetime.signal),
-      computeMoveMilliseconds: () => this.#rotation.computeMoveMilliseconds(),
     });
   }
 
@@ -388,9 +374,7 @@
       case RouterPhase.ShuttingDown:
         return "This VM is shutting down";
       case RouterPhase.Serving:
-        return this.#rotation.isInRotation
-          ? undefined
-          : "This VM is saturated; its callers are to reach others";
+        return undefined;
     }
   }
 
--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -3,16 +3,18 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 
-const MILLISECONDS_PER_SECOND = 1_000;
+/** By then another VM can mostly be connected to, or this one has time. */
+const RETRY_AFTER_SECONDS = 0.05;
 const BODY = '{"error":"This VM has too many connections; not run"}\n';
 const HEAD_END = "\r\n\r\n";
-const ANSWER_START = [
+const ANSWER_HEAD = [
   "HTTP/1.1 503 Service Unavailable",
   "content-type: application/json",
   `content-length: ${BODY.length}`,
+  `retry-after: ${RETRY_AFTER_SECONDS}`,
   "connection: close",
-  "retry-after: ",
-].join("\r\n");
+].join("\r\n") + HEAD_END;
+const ANSWER = Buffer.from(ANSWER_HEAD + BODY);
 const METHOD_WITHOUT_BODY = "HEAD ";
 const MAX_HEAD_BYTES = 64 * 1024;
 /** A caller that neither sends nor closes for this long is disconnected. */
@@ -25,11 +27,7 @@
  * The request is not parsed, and its body is discarded. Bytes that were read
  * from the connection before are passed as `received`.
  */
-export function sendConnectionRefusal(
-  socket: Socket,
-  retryAfterMilliseconds: number,
-  received = "",
-): void {
+export function sendConnectionRefusal(socket: Socket, received = ""): void {
   let head = received;
   let isAnswered = false;
   socket.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => socket.destroy());
@@ -41,9 +39,7 @@
     if (head.includes(HEAD_END)) {
       isAnswered = true;
       const hasBody = !head.startsWith(METHOD_WITHOUT_BODY);
-      const seconds = retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
-      const answerHead = ANSWER_START + seconds.toFixed(2) + HEAD_END;
-      socket.end(hasBody ? answerHead + BODY : answerHead, "latin1");
+      socket.end(hasBody ? ANSWER : ANSWER_HEAD);
       head = "";
     } else if (head.length > MAX_HEAD_BYTES) {
       socket.destroy();
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -106,13 +106,6 @@
   countConnection: (event: ConnectionEvent) => void;
   /** Records the length of a turn of the event loop, in milliseconds. */
   recordTurn: (milliseconds: number) => void;
-  /** Called with each connection while others wait for too long. */
-  recordOverload: () => void;
-  /**
-   * After what time a caller's next connection reaches another VM; undefined if
-   * that is not known.
-   */
-  computeMoveMilliseconds: () => number | undefined;
 }
 
 /** Accepts requests, reads their bodies and passes on those it admits. */
@@ -151,7 +144,7 @@
       ...options,
       refuse: (socket, received) => {
         this.#load.recordRefusal(socket);
-        sendConnectionRefusal(socket, this.#computeRetryAfter(), received);
+        sendConnectionRefusal(socket, received);
       },
     });
     this.#interceptConnections();
@@ -165,15 +158,12 @@
       this.#intake.recordConnection();
       this.#acceptQueue.recordConnection();
       this.#load.recordConnection(socket);
-      if (this.#isSaturated) {
-        this.#options.recordOverload();
-        if (this.#relayConnection(socket)) {
-          return;
-        }
+      if (this.#isSaturated && this.#relayConnection(socket)) {
+        return;
       }
       if (!this.#acceptQueue.mayServe()) {
         this.#load.recordRefusal(socket);
-        sendConnectionRefusal(socket, this.#computeRetryAfter());
+        sendConnectionRefusal(socket);
         return;
       }
       for (const listener of listeners) {
@@ -270,12 +260,6 @@
       this.#isSaturated && this.#relay.hasRoom;
   }
 
-  /** When a caller that this VM cannot serve is to come back. */
-  #computeRetryAfter(): number {
-    return this.#options.computeMoveMilliseconds() ??
-      OTHER_VM_RETRY_AFTER_MILLISECONDS;
-  }
-
   /** A busy VM spends as little time as possible on what it rejects. */
   #findEarlyRejection(request: IncomingMessage): RejectionKind | undefined {
     if (this.#hasStoppedAccepting) {
@@ -356,12 +340,7 @@
       });
     }
     request.resume();
-    const rejection = REJECTION_ANSWERS[kind];
-    answer.sendLocal(
-      kind === RejectionKind.TooManyWaiting
-        ? { ...rejection, retryAfterMilliseconds: this.#computeRetryAfter() }
-        : rejection,
-    );
+    answer.sendLocal(REJECTION_ANSWERS[kind]);
   }
 
   /** Reads the complete body; undefined when it exceeds the limit. */
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -57,8 +57,6 @@
   clock: FreezableClock;
   feed: CountingFeed;
   lifetime: AbortController;
-  /** Whether the VM asks to be out of the load balancer's rotation. */
-  isSaturated: boolean;
 }
 
 /** The size and the random seed of a {@link SimulatedFleet}. */
@@ -266,7 +264,6 @@
       isPaused: () => false,
       listSchedulers: () => services.listSchedulers(),
       adoptAttempt: (endpoint) => services.adoptAttempt(endpoint),
-      asksToLeaveRotation: () => vm.isSaturated,
       createNetwork: (receive) => this.#connect(contact.vm, receive, clock),
     }, signal);
     state.routesChanged.listen(({ configuration }) => {
@@ -275,7 +272,7 @@
     }, signal);
     void state.run(signal);
     void fleet.start(signal).then(() => fleet.run(signal));
-    const vm: SimulatedVm = {
+    const vm = {
       contact,
       fleet,
       state,
@@ -285,7 +282,6 @@
       clock,
       feed,
       lifetime,
-      isSaturated: false,
     };
     this.vms.set(contact.vm, vm);
     return vm;
--- a/packages/protocol/src/admission_messages.ts
+++ b/packages/protocol/src/admission_messages.ts
@@ -124,8 +124,6 @@
   schedulersDigest: string;
   /** The digest of the live VMs in the member's view of its zone. */
   zoneDigest: string;
-  /** Whether the member asks to be out of the load balancer's rotation. */
-  asksToLeaveRotation?: boolean;
 }
 
 /** A scheduler's reply to {@link MemberSyncMessage}. */
@@ -140,8 +138,6 @@
   tables: NamedTableAge[];
   /** The schedulers of all zones, if the member's list differs. */
   schedulers?: VmContact[];
-  /** Whether the member may be out of the load balancer's rotation. */
-  mayLeaveRotation?: boolean;
 }
 
 /** The age of one table's replica. */
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -138,9 +138,6 @@
   "excluded",
   "limits",
   "requestsPerSecond",
-  "asksToLeaveRotation",
-  "mayLeaveRotation",
-  "vmsOutOfRotation",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -112,8 +112,6 @@
   zoneVms?: number;
   /** The digest of these VMs. */
   zoneDigest?: string;
-  /** How many of them the sender lets out of the rotation; unset for none. */
-  vmsOutOfRotation?: number;
 }
 
 /** Requests a peer's replica of a table. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -168,7 +168,6 @@
     registrations: createOptional(isTableAge),
     schedulers: createOptional(createList(isContact)),
     zoneVms: createOptional(isAmount),
-    vmsOutOfRotation: createOptional(isAmount),
     zoneDigest: createOptional(isText),
   }),
   [MessageKind.EndpointDeparture]: createObject(DEPARTURE_FIELDS),
@@ -244,7 +243,6 @@
     running: createList(createObject({ entry: isText, endpoint: isText })),
     schedulersDigest: isText,
     zoneDigest: isText,
-    asksToLeaveRotation: createOptional(isFlag),
   }),
   [MessageKind.MemberSyncReply]: createObject({
     sequence: isAmount,
@@ -252,7 +250,6 @@
     fleetVms: isAmount,
     tables: createList(isNamedTableAge),
     schedulers: createOptional(createList(isContact)),
-    mayLeaveRotation: createOptional(isFlag),
   }),
 };
 
