Log a VM that cannot be connected to once, and forget it afterwards

While a VM is frozen, each of up to 128 connections that are passed on to it fails by itself: each wrote a line, and VMs that are gone stayed in the map of those that are avoided. Found by reading; the tests of ConnectionRelay pass.

--- a/packages/forwarding/src/ingress/connection_refuser.ts
+++ b/packages/forwarding/src/ingress/connection_refuser.ts
@@ -3,7 +3,7 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 
-/** By then another VM can mostly be connected to, or this one has time. */
+/** The next connection may reach another VM, or be passed on to one. */
 const RETRY_AFTER_SECONDS = 0.05;
 const BODY = '{"error":"This VM has too many connections; not run"}\n';
 const HEAD_END = "\r\n\r\n";
--- a/packages/forwarding/src/ingress/connection_relay.ts
+++ b/packages/forwarding/src/ingress/connection_relay.ts
@@ -88,10 +88,12 @@
   }
 
   #listUsablePeers(): VmContact[] {
-    const now = this.#options.clock.now();
-    return this.#options.listPeers().filter(({ vm }) =>
-      now >= (this.#avoidedUntil.get(vm) ?? -Infinity)
-    );
+    return this.#options.listPeers().filter(({ vm }) => !this.#isAvoided(vm));
+  }
+
+  #isAvoided(vm: VmId): boolean {
+    return this.#options.clock.now() <
+      (this.#avoidedUntil.get(vm) ?? -Infinity);
   }
 
   #readRequestLine(
@@ -130,6 +132,7 @@
       () => upstream.destroy(new Error("The connection timed out")),
       CONNECT_TIMEOUT_MILLISECONDS,
     );
+    upstream.once("close", () => clearTimeout(timer));
     upstream.once("connect", () => {
       isConnected = true;
       clearTimeout(timer);
@@ -138,7 +141,6 @@
       upstream.pipe(socket);
     });
     upstream.once("error", (error) => {
-      clearTimeout(timer);
       if (isConnected) {
         // A truncated answer must not look complete.
         socket.resetAndDestroy();
@@ -152,11 +154,19 @@
 
   #recordFailure({ vm }: VmContact, error: Error): void {
     const { clock, logger } = this.#options;
-    this.#avoidedUntil.set(vm, clock.now() + AVOIDANCE_MILLISECONDS);
-    logger.info("a connection could not be passed on to another VM", {
-      vm,
-      reason: describeError(error),
-    });
+    if (!this.#isAvoided(vm)) {
+      logger.info("a connection could not be passed on to another VM", {
+        vm,
+        reason: describeError(error),
+      });
+    }
+    const now = clock.now();
+    for (const [avoided, endsAt] of this.#avoidedUntil) {
+      if (endsAt <= now) {
+        this.#avoidedUntil.delete(avoided);
+      }
+    }
+    this.#avoidedUntil.set(vm, now + AVOIDANCE_MILLISECONDS);
   }
 }
 
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -28,7 +28,7 @@
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const RETRY_AFTER_MILLISECONDS = 300;
-/** The caller's next connection reaches another VM. */
+/** The next connection may reach another VM, or be passed on to one. */
 const OTHER_VM_RETRY_AFTER_MILLISECONDS = 50;
 /**
  * Connections that wait to be accepted. A longer queue holds connections of a
