Tell a reset from an end on connections that are passed on

A write fails after a reset and not after an end, so one is made before the caller's connection is ended; otherwise it is reset.

--- a/packages/forwarding/src/ingress/connection_relay.ts
+++ b/packages/forwarding/src/ingress/connection_relay.ts
@@ -15,6 +15,8 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /** A caller that sends no request line for this long is disconnected. */
 const REQUEST_LINE_TIMEOUT_MILLISECONDS = 1_000;
+/** A caller that does not close its connection for this long is disconnected. */
+const CLOSE_TIMEOUT_MILLISECONDS = 1_000;
 const MAX_REQUEST_LINE_BYTES = 64 * 1024;
 /** A VM that could not be connected to gets no connections for this time. */
 const AVOIDANCE_MILLISECONDS = 2_000;
@@ -127,7 +129,13 @@
     }
     let isConnected = false;
     const { host, callerPort: port } = peer;
-    const upstream = connect({ host, port, localAddress, noDelay: true });
+    const upstream = connect({
+      host,
+      port,
+      localAddress,
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     const timer = setTimeout(
       () => upstream.destroy(new Error("The connection timed out")),
       CONNECT_TIMEOUT_MILLISECONDS,
@@ -138,7 +146,17 @@
       clearTimeout(timer);
       upstream.write(addRelayHeader(received, start), "latin1");
       socket.pipe(upstream);
-      upstream.pipe(socket);
+      upstream.pipe(socket, { end: false });
+    });
+    upstream.once("end", () => {
+      // A reset that arrives together with bytes is reported as an end. A write
+      // fails then.
+      upstream.write(LINE_END, (error) => {
+        if (!(error instanceof Error)) {
+          upstream.destroy();
+          stopCaller(socket);
+        }
+      });
     });
     upstream.once("error", (error) => {
       if (isConnected) {
@@ -170,6 +188,13 @@
   }
 }
 
+/** Ends a connection and discards what its caller still sends. */
+function stopCaller(socket: Socket): void {
+  socket.unpipe().resume().end();
+  const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MILLISECONDS);
+  socket.once("close", () => clearTimeout(timer));
+}
+
 /**
  * Finds the end of the request line, which is after its first line end; 0 if
  * nothing after it was received.
--- a/packages/forwarding/src/ingress/connection_relay_test.ts
+++ b/packages/forwarding/src/ingress/connection_relay_test.ts
@@ -14,6 +14,7 @@
 import type { VmContact } from "@rattanvane/protocol";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
+import { runRelays } from "../testing/simulated_relays.ts";
 import { waitUntil } from "../testing/router_harness.ts";
 import { sendConnectionRefusal } from "./connection_refuser.ts";
 import { ConnectionRelay } from "./connection_relay.ts";
@@ -23,6 +24,8 @@
   "Content-Length: 4\r\n\r\n";
 const REQUEST = `${HEAD}body`;
 
+const SEEDS = [1, 2, 3];
+
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 interface Received {
@@ -184,4 +187,19 @@
     expect(text).to.equal("");
     await waitUntil(() => relay.open === 0);
   });
+
+  for (const seed of SEEDS) {
+    it(`mixes, repeats and truncates nothing while VMs restart (seed ${seed})`, async () => {
+      const { served, refused, ...faults } = await runRelays(seed);
+      expect(faults).to.deep.equal({
+        refusedButRun: [],
+        runTwice: [],
+        truncated: [],
+        mixed: [],
+        left: 0,
+      });
+      expect(served).to.be.at.least(1);
+      expect(refused).to.be.at.least(1);
+    });
+  }
 });
