Answer no part of a response that is reset together with its last bytes

A caller got a response without a length as complete although its endpoint's connection was reset within it. Cause: the runtime reports a reset that arrives together with bytes as an end, and such a response ends with its connection; a busy VM reads both at once. A write of no bytes fails after a reset and not after an end, so it tells the two apart before the end reaches the HTTP client.

--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -327,6 +327,18 @@
     expect((await harness.send(router)).status).to.equal(502);
   });
 
+  it("forwards no response without a length that is reset together with its last bytes", async () => {
+    applyRoute({ repeatability: Repeatability.Once });
+    await harness.startEndpoint("e1", ({ request: { socket } }) => {
+      const head = "HTTP/1.1 200 OK\r\nx-seal: s\r\nx-request: r1\r\n" +
+        "connection: close\r\n\r\n";
+      socket.write(`${head}a part`);
+      socket.resetAndDestroy();
+    });
+    const router = await harness.startReadyRouter();
+    expect((await harness.send(router)).status).to.equal(502);
+  });
+
   it("forwards an endpoint's own error response unchanged", async () => {
     applyRoute({ repeatability: Repeatability.Once });
     await harness.startEndpoint("e1", ({ request }, response) => {
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -1,5 +1,6 @@
 /** Sends requests to endpoints over keep-alive connections. */
 
+import type { Socket } from "node:net";
 import {
   addAbortListener,
   ConnectError,
@@ -129,6 +130,7 @@
     const connect = createConnector({
       connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       localAddress: this.#localAddress,
+      allowHalfOpen: true,
     });
     return (target, callback) => {
       connect(target, (...[error, socket]) => {
@@ -137,6 +139,11 @@
           return;
         }
         socket.on("error", () => this.#handleReset());
+        socket.on("end", () => {
+          if (hasBeenReset(socket)) {
+            this.#handleReset();
+          }
+        });
         callback(null, socket);
       });
     };
@@ -170,6 +177,15 @@
   }
 }
 
+/**
+ * Whether the end of a socket is a reset. One that arrives together with bytes is
+ * reported as an end, and a write, also of no bytes, fails then.
+ */
+function hasBeenReset(socket: Socket): boolean {
+  socket.write("");
+  return socket.errored !== null;
+}
+
 /** Forwards undici's events until the request ends or is cancelled. */
 class AnswerHandler implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: AnswerReceiver;
