--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -143,6 +143,13 @@
   vms = [];
   #folder = mkdtempSync(join(tmpdir(), "review-"));
 
+  constructor() {
+    // A script that is ended early leaves no process behind.
+    process.once("exit", () => this.vms.forEach((vm) => vm.kill("SIGKILL")));
+    process.once("SIGTERM", () => process.exit());
+    process.once("SIGINT", () => process.exit());
+  }
+
   async create({ zones, storeAddress, ramMb, settings = {} }) {
     const ports = {
       front: await findFreePort("127.0.0.1"),
