Collect bodies in one buffer, not in an object a chunk

Cause: AttemptRun kept every chunk of an answer as an object until the answer ended. Other readers of bodies did the same: the bodies of callers (both interfaces), answers of plain services on the product's own interface, and answers of the platform.

Evidence: the new test of AttemptRun, before the fix (64 packets of 16,384 chunks of one byte, after a garbage collection):

AssertionError: expected to be below

Change: ByteCollector copies pieces into one buffer that grows geometrically, so the memory in use follows the number of bytes. All five readers use it. An attempt that ends also drops what it had collected.

The processor time that such bytes take is a fault of its own and not changed here.

--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -1,6 +1,7 @@
 /** Clock, random numbers, errors, logging and asynchronous utilities. */
 
 export { type BackoffOptions, computeBackoff } from "./common/backoff.ts";
+export { ByteCollector } from "./common/byte_collector.ts";
 export { ChildAbort, createLifetime } from "./common/child_abort.ts";
 export { Clock, ManualClock, SystemClock } from "./common/clock.ts";
 export { Deferred } from "./common/deferred.ts";
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -1,7 +1,6 @@
 /** Sends one attempt to an endpoint and processes its answer. */
 
-import { Buffer } from "node:buffer";
-import { type Clock, Deferred } from "@rattanvane/base";
+import { ByteCollector, type Clock, Deferred } from "@rattanvane/base";
 import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type {
@@ -53,7 +52,7 @@
 export class AttemptRun extends AnswerReceiver {
   readonly #options: AttemptRunOptions;
   readonly #outcome = new Deferred<AttemptOutcome>();
-  readonly #chunks: Uint8Array[] = [];
+  readonly #body = new ByteCollector();
   readonly #sentAt: number;
   #request: SentRequest | undefined;
   #status = 0;
@@ -66,7 +65,6 @@
   #isStream = false;
   /** The caller has been sent the headers of this attempt's answer. */
   #hasBegunStream = false;
-  #bodyBytes = 0;
   #firstMilliseconds: number | undefined;
   #lastEventAt = 0;
   #longestPauseMilliseconds = 0;
@@ -138,12 +136,11 @@
       return;
     }
     this.#recordFirstByte();
-    this.#bodyBytes += chunk.length;
-    if (this.#bodyBytes > MAX_ANSWER_BYTES) {
+    if (this.#body.length + chunk.length > MAX_ANSWER_BYTES) {
       this.#rejectAnswer("The answer exceeds the size limit");
       return;
     }
-    this.#chunks.push(chunk);
+    this.#body.append(chunk);
   }
 
   override end(): void {
@@ -263,7 +260,7 @@
   }
 
   #finishWholeAnswer(): void {
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#body.take();
     const answer = { status: this.#status, headers: this.#headers, body };
     if (this.#status === STATUS_WRONG_INSTANCE) {
       this.#finish(OutcomeKind.WrongInstance, "status 421");
@@ -312,6 +309,7 @@
       return;
     }
     this.#isFinished = true;
+    this.#body.clear();
     this.#options.splitter.removeIncompleteEvent();
     this.#outcome.resolve({
       kind,
--- /dev/null
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -0,0 +1,100 @@
+import { Buffer } from "node:buffer";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { createLifetime, SystemClock } from "@rattanvane/base";
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { buildCall, buildEndpoint, buildRoute } from "../testing/fixtures.ts";
+import { TestDialect } from "../testing/test_dialect.ts";
+import { OutcomeKind } from "../model/attempt_outcome.ts";
+import { Repeatability } from "../model/route.ts";
+import { AttemptRun } from "./attempt_run.ts";
+import { CallerAnswer } from "./caller_answer.ts";
+import {
+  type AnswerReceiver,
+  type EndpointRequest,
+  EndpointTransport,
+  type SentRequest,
+} from "./endpoint_transport.ts";
+import { EventSplitter } from "./event_splitter.ts";
+
+const HEADERS = { "x-seal": "seal", "x-request": "request-1" };
+const MEBIBYTE = 1024 * 1024;
+/** The longest answer that is accepted. */
+const MAX_ANSWER_BYTES = 16 * MEBIBYTE;
+
+/** Hands the receiver of a sent request to the test. */
+class ManualTransport extends EndpointTransport {
+  receiver: AnswerReceiver | undefined;
+  isCancelled = false;
+
+  override send(
+    _address: string,
+    _request: EndpointRequest,
+    receiver: AnswerReceiver,
+  ): SentRequest {
+    this.receiver = receiver;
+    return { cancel: () => this.isCancelled = true };
+  }
+
+  /** Delivers the head of an answer. */
+  begin(status = 200): AnswerReceiver {
+    const receiver = this.receiver as AnswerReceiver;
+    receiver.begin(status, HEADERS, {
+      pause: () => {},
+      resume: () => {},
+      cancel: () => this.isCancelled = true,
+    });
+    return receiver;
+  }
+}
+
+function startAttempt(repeatability: Repeatability) {
+  const { signal } = createLifetime();
+  const transport = new ManualTransport("127.0.0.1", signal);
+  const response = new ServerResponse(new IncomingMessage(new Socket()));
+  const attempt = new AttemptRun({
+    call: buildCall(0, { route: buildRoute({ repeatability }) }),
+    endpoint: buildEndpoint("e1"),
+    dialect: new TestDialect(),
+    transport,
+    clock: new SystemClock(),
+    answer: new CallerAnswer(response, () => false),
+    splitter: new EventSplitter(),
+    onAnswering: () => {},
+    onLeaving: () => {},
+    onLimit: () => {},
+    onPaused: () => {},
+  });
+  return { transport, outcome: attempt.run(signal) };
+}
+
+/** The memory that is still referenced, in and outside of the heap. */
+function measureMemory(): number {
+  setFlagsFromString("--expose-gc");
+  runInNewContext("gc")();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+describe("AttemptRun", () => {
+  // A faulty endpoint's chunks of one byte ended the process: heap out of memory.
+  it("holds an answer in chunks of one byte in no more memory than the longest answer", async () => {
+    const { transport, outcome } = startAttempt(Repeatability.Idempotent);
+    const receiver = transport.begin();
+    const before = measureMemory();
+    for (let packet = 0; packet < 64; packet++) {
+      const bytes = Buffer.alloc(16 * 1024, "1");
+      for (let offset = 0; offset < bytes.length; offset++) {
+        receiver.receive(bytes.subarray(offset, offset + 1));
+      }
+    }
+    expect(measureMemory() - before).to.be.below(MAX_ANSWER_BYTES);
+    receiver.end();
+    const { kind, answer } = await outcome;
+    expect(kind).to.equal(OutcomeKind.Answered);
+    expect(answer?.body.length).to.equal(MEBIBYTE);
+  });
+});
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -1,6 +1,5 @@
 /** The HTTP server that accepts the requests of callers. */
 
-import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import {
   createServer,
@@ -10,6 +9,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import {
+  ByteCollector,
   type Clock,
   describeError,
   type Logger,
@@ -346,19 +346,18 @@
   /** Reads the complete body; undefined when it exceeds the limit. */
   #readBody(request: IncomingMessage): Promise<Uint8Array | undefined> {
     const maxBytes = this.#options.findLimits()?.bodyBytes ?? Infinity;
-    const chunks: Uint8Array[] = [];
-    let bytes = 0;
+    const body = new ByteCollector();
     return new Promise((resolve, reject) => {
       request.on("data", (chunk: Uint8Array) => {
-        bytes += chunk.length;
-        if (bytes <= maxBytes) {
-          chunks.push(chunk);
+        if (body.length + chunk.length <= maxBytes) {
+          body.append(chunk);
           return;
         }
+        body.clear();
         request.removeAllListeners("data");
         resolve(undefined);
       });
-      request.once("end", () => resolve(mergeChunks(chunks)));
+      request.once("end", () => resolve(body.take()));
       request.once("error", reject);
       request.once(
         "close",
@@ -367,10 +366,3 @@
     });
   }
 }
-
-function mergeChunks(chunks: readonly Uint8Array[]): Uint8Array {
-  const [only] = chunks;
-  return chunks.length === 1 && only !== undefined
-    ? only
-    : Buffer.concat(chunks);
-}
--- a/packages/platform/src/http/body_reader.ts
+++ b/packages/platform/src/http/body_reader.ts
@@ -1,6 +1,6 @@
 /** Reads complete HTTP bodies up to a size limit. */
 
-import { Buffer } from "node:buffer";
+import { ByteCollector } from "@rattanvane/base";
 
 /** Thrown when a body exceeds its size limit. */
 export class BodyTooLongError extends Error {
@@ -15,14 +15,12 @@
   body: AsyncIterable<Uint8Array>,
   limitBytes: number,
 ): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let totalBytes = 0;
+  const collected = new ByteCollector();
   for await (const chunk of body) {
-    totalBytes += chunk.byteLength;
-    if (totalBytes > limitBytes) {
+    if (collected.length + chunk.byteLength > limitBytes) {
       throw new BodyTooLongError(limitBytes);
     }
-    chunks.push(chunk);
+    collected.append(chunk);
   }
-  return Buffer.concat(chunks, totalBytes);
+  return collected.take();
 }
--- a/packages/router/src/caller/body_reader.ts
+++ b/packages/router/src/caller/body_reader.ts
@@ -1,8 +1,12 @@
 /** Reads request bodies with size and time limits. */
 
-import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import { type Clock, Deferred, runWithDeadline } from "@rattanvane/base";
+import {
+  ByteCollector,
+  type Clock,
+  Deferred,
+  runWithDeadline,
+} from "@rattanvane/base";
 import { CallerError, CallerErrorKind } from "./caller_error.ts";
 
 /** Size and time limits of a request body. */
@@ -41,23 +45,22 @@
   request: IncomingMessage,
   { maximumBytes }: ReadBodyOptions,
 ): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const body = new ByteCollector();
   // The error response to an invalid body is sent on the same connection, so
   // ending the iteration must not destroy it.
   const parts = request.iterator({ destroyOnReturn: false });
   try {
     for await (const chunk of parts) {
-      bytes += (chunk as Uint8Array).length;
-      if (bytes > maximumBytes) {
+      const bytes = chunk as Uint8Array;
+      if (body.length + bytes.length > maximumBytes) {
         throw createTooLongError(maximumBytes);
       }
-      chunks.push(chunk as Uint8Array);
+      body.append(bytes);
     }
   } catch (thrown) {
     throw thrown instanceof CallerError ? thrown : createTruncatedError(thrown);
   }
-  return Buffer.concat(chunks);
+  return body.take();
 }
 
 function createTruncatedError(cause: unknown): CallerError {
--- a/packages/router/src/ingress/plain_run.ts
+++ b/packages/router/src/ingress/plain_run.ts
@@ -1,6 +1,6 @@
 /** Runs calls to plain services, with retries. */
 
-import { Buffer } from "node:buffer";
+import { ByteCollector } from "@rattanvane/base";
 import {
   EndpointError,
   EndpointErrorKind,
@@ -97,15 +97,13 @@
   response: EndpointResponse,
   maximumBytes: number,
 ): Promise<Result<PlainAnswer, EndpointError | CallerError>> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const body = new ByteCollector();
   try {
     for await (const chunk of response.body) {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
+      if (body.length + chunk.length > maximumBytes) {
         return err(createAnswerTooLongError(maximumBytes));
       }
-      chunks.push(chunk);
+      body.append(chunk);
     }
   } catch (thrown) {
     return err(convertBodyError(thrown));
@@ -113,7 +111,7 @@
   return ok({
     status: response.status,
     headers: response.headers,
-    body: Buffer.concat(chunks),
+    body: body.take(),
   });
 }
 
