Split a stream's bytes in linear time, and give up an event without end

Cause: EventSplitter copied all bytes of an incomplete event, and searched them again from the beginning, with each chunk, which takes time in the square of the event's length; and no limit applied to an incomplete event.

Evidence, before the fix:

AttemptRun gives up a stream whose event does not end: expected false to equal true (2 MiB of lines, 36 s; 16 MiB were not worked off in 600 s) EventSplitter splits a long event that arrives in small pieces in linear time: expected 5229.841699 to be below 1500 (96 KiB in lines of 6 bytes)

Change: an incomplete event is collected in one buffer, only the bytes of a new chunk are searched, and an attempt is given up once 1 MiB of an event is held, the limit that the product's own interface has for events.

--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -27,6 +27,8 @@
 const STATUS_UNAVAILABLE = 503;
 /** No service sends longer answers than this, except as streams. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Applies to a stream, whose length is not limited otherwise. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** The request, the endpoint and the dependencies of one attempt. */
 export interface AttemptRunOptions {
@@ -211,6 +213,10 @@
   #relayEvents(chunk: Uint8Array): void {
     const { answer, splitter } = this.#options;
     const events = splitter.split(chunk);
+    if (splitter.incompleteBytes > MAX_EVENT_BYTES) {
+      this.#rejectAnswer("An event of the stream exceeds the size limit");
+      return;
+    }
     if (events.length === 0) {
       return;
     }
--- a/packages/forwarding/src/ingress/attempt_run_test.ts
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -97,4 +97,21 @@
     expect(kind).to.equal(OutcomeKind.Answered);
     expect(answer?.body.length).to.equal(MEBIBYTE);
   });
+
+  // Lines without an event's end were kept and searched again with each chunk,
+  // which hung the VM for all its callers.
+  it("gives up a stream whose event does not end", async () => {
+    const { transport, outcome } = startAttempt(Repeatability.Stream);
+    const receiver = transport.begin();
+    const lines = Buffer.alloc(1_000, "0\n");
+    let sent = 0;
+    while (!transport.isCancelled && sent < 2 * MEBIBYTE) {
+      receiver.receive(lines);
+      sent += lines.length;
+    }
+    expect(transport.isCancelled).to.equal(true);
+    const { kind, reason } = await outcome;
+    expect(kind).to.equal(OutcomeKind.Broken);
+    expect(reason).to.equal("An event of the stream exceeds the size limit");
+  });
 });
--- a/packages/forwarding/src/ingress/event_splitter.ts
+++ b/packages/forwarding/src/ingress/event_splitter.ts
@@ -1,6 +1,7 @@
 /** Splits the bytes of an event stream into complete events. */
 
 import { Buffer } from "node:buffer";
+import { ByteCollector } from "@rattanvane/base";
 
 const LINE_FEED = 0x0a;
 const ID_FIELD = "id:";
@@ -8,10 +9,11 @@
 
 /**
  * Holds back incomplete events and records the id of the last complete one.
- * An event ends with two line feeds.
+ * An event ends with two line feeds. Each byte is searched once and copied a
+ * bounded number of times, however many pieces an event arrives in.
  */
 export class EventSplitter {
-  #incompleteEvent: Uint8Array = new Uint8Array();
+  readonly #incompleteEvent = new ByteCollector();
   #lastEventId = "";
   /** The latest complete events with an id; it has not been read yet. */
   #unreadEvents: Uint8Array = new Uint8Array();
@@ -33,14 +35,23 @@
     return this.#incompleteEvent.length > 0;
   }
 
+  /** The number of bytes of an incomplete event that are held back. */
+  get incompleteBytes(): number {
+    return this.#incompleteEvent.length;
+  }
+
   /** Returns the events that these bytes complete, in their wire form. */
   split(chunk: Uint8Array): Uint8Array {
-    const bytes = this.#incompleteEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#incompleteEvent, chunk]);
-    const end = this.#countEvents(bytes);
-    this.#incompleteEvent = bytes.subarray(end);
-    const complete = Buffer.from(bytes.buffer, bytes.byteOffset, end);
+    const end = this.#countEvents(chunk);
+    const rest = chunk.subarray(end);
+    if (end === 0) {
+      this.#incompleteEvent.append(rest);
+      return new Uint8Array();
+    }
+    const complete = this.#takeComplete(chunk.subarray(0, end));
+    if (rest.length > 0) {
+      this.#incompleteEvent.append(rest);
+    }
     if (hasId(complete)) {
       // Ids are only read when a stream has to be resumed.
       this.#unreadEvents = complete;
@@ -50,19 +61,35 @@
 
   /** Discards the bytes of an incomplete event. */
   removeIncompleteEvent(): void {
-    this.#incompleteEvent = new Uint8Array();
+    this.#incompleteEvent.clear();
+  }
+
+  /** Joins the held bytes with those that complete their event. */
+  #takeComplete(bytes: Uint8Array): Buffer {
+    if (this.#incompleteEvent.length === 0) {
+      return convertToBuffer(bytes);
+    }
+    this.#incompleteEvent.append(bytes);
+    return convertToBuffer(this.#incompleteEvent.take());
   }
 
   /** Counts complete events; returns the offset after the last of them. */
-  #countEvents(bytes: Uint8Array): number {
+  #countEvents(chunk: Uint8Array): number {
     let end = 0;
     let offset = 0;
+    const isSplit = this.#incompleteEvent.lastByte === LINE_FEED &&
+      chunk[0] === LINE_FEED;
+    if (isSplit) {
+      // The two line feeds arrived in different chunks.
+      end = 1;
+      this.#eventCount++;
+    }
     for (;;) {
-      const lineFeed = bytes.indexOf(LINE_FEED, offset);
-      if (lineFeed < 0 || lineFeed + 1 >= bytes.length) {
+      const lineFeed = chunk.indexOf(LINE_FEED, offset);
+      if (lineFeed < 0 || lineFeed + 1 >= chunk.length) {
         return end;
       }
-      if (bytes[lineFeed + 1] === LINE_FEED) {
+      if (chunk[lineFeed + 1] === LINE_FEED) {
         end = lineFeed + 2;
         this.#eventCount++;
       }
@@ -82,6 +109,10 @@
   }
 }
 
+function convertToBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+}
+
 /** Whether a line of some complete events begins with an id. */
 function hasId(events: Buffer): boolean {
   return events.indexOf(ID_FIELD) === 0 || events.includes(`\n${ID_FIELD}`);
--- a/packages/forwarding/src/ingress/event_splitter_test.ts
+++ b/packages/forwarding/src/ingress/event_splitter_test.ts
@@ -4,6 +4,10 @@
 import { describe, it } from "mocha";
 import { EventSplitter } from "./event_splitter.ts";
 
+const LONG_EVENT_BYTES = 96 * 1024;
+/** Within it, in milliseconds, other requests of the VM are to be answered. */
+const ROUTE_TIMEOUT = 1_500;
+
 const STREAM = "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
 
 /** Splits the stream in chunks that end at the given offsets. */
@@ -55,4 +59,19 @@
     expect(splitter.hasIncompleteEvent).to.equal(false);
     expect(splitter.lastEventId).to.equal("1");
   });
+
+  // Searching all held bytes again with each piece takes time in the square of
+  // an event's length, on the only thread of the VM.
+  it("splits a long event that arrives in small pieces in linear time", () => {
+    const splitter = new EventSplitter();
+    const piece = Buffer.from("id: 1\n");
+    const startedAt = performance.now();
+    for (let bytes = 0; bytes < LONG_EVENT_BYTES; bytes += piece.length) {
+      splitter.split(piece);
+    }
+    const event = splitter.split(Buffer.from("\n"));
+    expect(performance.now() - startedAt).to.be.below(ROUTE_TIMEOUT);
+    expect(event.length).to.be.at.least(LONG_EVENT_BYTES);
+    expect(splitter.eventCount).to.equal(1);
+  });
 });
