Decode frames between VMs in linear time

What callers would see: a VM that receives a long frame in small pieces spends its only thread on copying; its peers and callers wait meanwhile.

Cause: FrameDecoder copied all held bytes with each piece, up to 1 MiB.

Change: pieces are collected in one buffer and joined when the frame, or its header, is complete.

--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -1,6 +1,7 @@
 /** Length-prefixed framing of a byte stream. */
 
 import { Buffer } from "node:buffer";
+import { ByteCollector } from "@rattanvane/base";
 import { ProtocolError, ProtocolErrorKind } from "./protocol_error.ts";
 
 /** Size of the big-endian length prefix of each frame. */
@@ -21,9 +22,16 @@
   return frame;
 }
 
-/** Incrementally decodes frames from a byte stream. */
+/**
+ * Incrementally decodes frames from a byte stream. Each byte is copied a bounded
+ * number of times, however many pieces a frame arrives in.
+ */
 export class FrameDecoder {
   #pending: Buffer = Buffer.alloc(0);
+  /** Follows the pending bytes; joined with them when a frame is complete. */
+  readonly #pieces = new ByteCollector();
+  /** The pending bytes that the next step of decoding takes at least. */
+  #neededBytes = FRAME_HEADER_BYTES;
   #maximumBytes: number;
 
   constructor(maximumBytes: number) {
@@ -37,14 +45,16 @@
 
   /** Appends received bytes. */
   push(chunk: Uint8Array): void {
-    this.#pending = this.#pending.length === 0
-      ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
-      : Buffer.concat([this.#pending, chunk]);
+    if (this.pendingBytes === 0) {
+      this.#pending = convertToBuffer(chunk);
+    } else {
+      this.#pieces.append(chunk);
+    }
   }
 
   /** The number of bytes that were received and not yet returned. */
   get pendingBytes(): number {
-    return this.#pending.length;
+    return this.#pending.length + this.#pieces.length;
   }
 
   /**
@@ -52,9 +62,10 @@
    * needed. Throws a ProtocolError when the frame exceeds the maximum size.
    */
   next(): Uint8Array | undefined {
-    if (this.#pending.length < FRAME_HEADER_BYTES) {
+    if (this.pendingBytes < this.#neededBytes) {
       return undefined;
     }
+    this.#joinPieces();
     const length = this.#pending.readUInt32BE(0);
     if (length > this.#maximumBytes) {
       const problem = `Cannot accept a frame of ${length} bytes`;
@@ -62,10 +73,22 @@
     }
     const end = FRAME_HEADER_BYTES + length;
     if (this.#pending.length < end) {
+      this.#neededBytes = end;
       return undefined;
     }
+    this.#neededBytes = FRAME_HEADER_BYTES;
     const frame = this.#pending.subarray(FRAME_HEADER_BYTES, end);
     this.#pending = this.#pending.subarray(end);
     return frame;
   }
+
+  #joinPieces(): void {
+    if (this.#pieces.length > 0) {
+      this.#pending = Buffer.concat([this.#pending, this.#pieces.take()]);
+    }
+  }
+}
+
+function convertToBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
 }
