Count a crash once for a request, however many copies ran in it

Cause: CrashTracker named a crash by the attempt that was lost, so three equal requests in one crash counted as three crashes, as did one request of which three VMs had a copy there.

Evidence, before: "counts one crash once, however many equal requests ran in it: expected true to equal false". The other two new tests passed before (the registry's default asks for two crashes, and they had one name each).

Change: a crash is named by the process that ended: the endpoint's id and start time. The name is the same at all VMs. An endpoint that states no start time is counted by confirmation, since its next process cannot be told from it. The log line has the crash's name.

--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -59,6 +59,7 @@
   readonly #respondingAttempts: TrackedAttempt[] = [];
   readonly #lostAttempts = new Map<EndpointId, TrackedAttempt[]>();
   #sequence = 0;
+  #confirmations = 0;
 
   constructor(options: CrashTrackerOptions) {
     this.#options = options;
@@ -137,6 +138,7 @@
     this.#settleResponses();
     const earliest = this.#options.clock.now() -
       CRASH_CONFIRMATION_MILLISECONDS;
+    this.#confirmations++;
     for (const attempt of lostAttempts) {
       if ((attempt.lostAt ?? -Infinity) >= earliest) {
         this.#recordCrash(attempt);
@@ -169,11 +171,13 @@
   #recordCrash(attempt: TrackedAttempt): void {
     const { suspects, logger } = this.#options;
     const { endpoint, startedAtUnixMilliseconds, fingerprint } = attempt;
-    suspects.recordCrash(fingerprint, attempt.name);
+    const crash = this.#buildCrashName(attempt);
+    suspects.recordCrash(fingerprint, crash);
     logger.warn("request was running when its endpoint crashed", {
       endpoint,
       fingerprint,
       attempt: attempt.name,
+      crash,
       sharedParts: attempt.sharedParts.join(" "),
       wasResponding: attempt.respondingAt !== undefined,
     });
@@ -189,6 +193,20 @@
     }
   }
 
+  /**
+   * Identifies a crash in the whole fleet by the process that ended, so that it
+   * counts once for a request, whoever has seen it. A process whose start time
+   * is not known cannot be told from the next one under the same id; each
+   * confirmation by this VM counts then.
+   */
+  #buildCrashName(
+    { endpoint, startedAtUnixMilliseconds }: TrackedAttempt,
+  ): string {
+    return startedAtUnixMilliseconds === 0
+      ? `${endpoint}@${this.#options.vm}.${this.#confirmations}`
+      : `${endpoint}@${startedAtUnixMilliseconds}`;
+  }
+
   /** Records the responses that have gone on for long enough. */
   #settleResponses(): void {
     const now = this.#options.clock.now();
--- a/packages/forwarding/src/state/crash_tracker_test.ts
+++ b/packages/forwarding/src/state/crash_tracker_test.ts
@@ -68,4 +68,47 @@
     );
     expect(suspects.isSuspect("f")).to.equal(false);
   });
+
+  // Equal status checks that ran in one crash were taken for several crashes and
+  // refused everywhere.
+  it("counts one crash once, however many equal requests ran in it", () => {
+    const { suspects, watch } = createWatch();
+    const attempts = [1, 2, 3].map(() =>
+      watch.registerAttempt(buildEndpoint("e1"), CALL)
+    );
+    for (const attempt of attempts) {
+      watch.recordOutcome(attempt, OutcomeKind.Broken);
+    }
+    watch.confirmCrash("e1");
+    expect(suspects.isSuspect("f")).to.equal(true);
+    expect(suspects.isQuarantined("f")).to.equal(false);
+  });
+
+  it("counts one crash once that two VMs have seen", () => {
+    const first = createWatch();
+    const second = createWatch();
+    for (const { watch } of [first, second]) {
+      watch.recordOutcome(
+        watch.registerAttempt(buildEndpoint("e1"), CALL),
+        OutcomeKind.Broken,
+      );
+      watch.confirmCrash("e1");
+    }
+    first.suspects.merge(second.suspects.listSuspects());
+    expect(first.suspects.isQuarantined("f")).to.equal(false);
+  });
+
+  it("counts each crash of an endpoint that states no start time", () => {
+    const { suspects, watch } = createWatch();
+    for (let crash = 0; crash < 2; crash++) {
+      expect(suspects.isQuarantined("f")).to.equal(false);
+      const record = buildEndpoint("e1", { startedAtUnixMilliseconds: 0 });
+      watch.recordOutcome(
+        watch.registerAttempt(record, CALL),
+        OutcomeKind.Broken,
+      );
+      watch.confirmCrash("e1");
+    }
+    expect(suspects.isQuarantined("f")).to.equal(true);
+  });
 });
