Confirm a crash by what peers and the address of the endpoint show

Cause: CrashTracker counts a lost attempt as a crash only when its own VM then fails to connect to the same id, or that id registers again. A peer that met the refused connection first reports the endpoint as down; the VM that lost the request then sends nothing there and never learns more. And a process that starts at the same address under another id, or answers 421 there, was not taken for what it shows: that the former one has ended.

Change: a peer's report that an endpoint is down confirms the attempts that were sent there before the peer detected it; so do a 421 and the start of a process at the endpoint's address. A reset or a lost answer alone is still no crash (two tests, which passed before). Attempts that broke too long ago are dropped when the next one breaks; they were kept until a confirmation before.

--- a/packages/forwarding/src/fleet/state_exchange.ts
+++ b/packages/forwarding/src/fleet/state_exchange.ts
@@ -159,6 +159,7 @@
     for (const scheduler of this.#options.listSchedulers()) {
       scheduler.mergePeer(from, uses);
     }
+    this.#mergeDownReports(message.endpoints);
     shares.mergePeer(from, message.organisations);
     if (message.suspects.length > 0) {
       suspects.merge(message.suspects);
@@ -176,6 +177,14 @@
     this.#mergeAges(from, message);
   }
 
+  #mergeDownReports(uses: readonly EndpointUse[]): void {
+    for (const { endpoint, downAgeMilliseconds } of uses) {
+      if (downAgeMilliseconds !== undefined) {
+        this.#options.crashes.mergeDownReport(endpoint, downAgeMilliseconds);
+      }
+    }
+  }
+
   #removeSilentPeers(): void {
     const now = this.#options.clock.now();
     for (const [vm, peer] of this.#peers) {
--- a/packages/forwarding/src/service_registry.ts
+++ b/packages/forwarding/src/service_registry.ts
@@ -203,7 +203,7 @@
     if (isNewProcess) {
       endpoint.restart();
       endpoint.coldStart.recordStart(runtime.service.coldMilliseconds);
-      crashes.confirmCrash(record.id);
+      crashes.recordStart(record);
     }
     if (record.coldMilliseconds > 0) {
       endpoint.coldStart.markCold(record.coldMilliseconds);
--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -24,6 +24,8 @@
 /** One attempt at an endpoint. */
 export interface TrackedAttempt {
   endpoint: EndpointId;
+  /** Host and port of the endpoint. */
+  address: string;
   /** Start time of the endpoint's process. */
   startedAtUnixMilliseconds: number;
   fingerprint: string;
@@ -50,7 +52,8 @@
 /**
  * Records crashes for the requests whose connection broke. A broken connection
  * alone does not prove a crash, because responses can be lost. It counts as one
- * when the endpoint is then unreachable or has restarted.
+ * when this VM or a peer then finds the endpoint unreachable, or another process
+ * is at its address.
  */
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
@@ -80,12 +83,14 @@
 
   /** Registers an attempt that is about to be sent. */
   registerAttempt(
-    { id, startedAtUnixMilliseconds }: EndpointRecord,
+    record: EndpointRecord,
     call: SchedulableCall,
   ): TrackedAttempt {
+    const { id, startedAtUnixMilliseconds } = record;
     this.#sequence++;
     return {
       endpoint: id,
+      address: formatAddress(record),
       startedAtUnixMilliseconds,
       fingerprint: call.fingerprint,
       name: `${this.#options.vm}.${this.#sequence}`,
@@ -114,7 +119,9 @@
       this.#parts.recordResponse(attempt.sharedParts, respondingAt);
       return;
     }
-    if (outcome === OutcomeKind.NotSent) {
+    const isGone = outcome === OutcomeKind.NotSent ||
+      outcome === OutcomeKind.WrongInstance;
+    if (isGone) {
       this.confirmCrash(attempt.endpoint);
       return;
     }
@@ -122,7 +129,7 @@
       outcome === OutcomeKind.StreamBroken;
     if (isLost) {
       attempt.lostAt = clock.now();
-      const lostAttempts = this.#lostAttempts.get(attempt.endpoint) ?? [];
+      const lostAttempts = this.#listLost(attempt.endpoint);
       lostAttempts.push(attempt);
       this.#lostAttempts.set(attempt.endpoint, lostAttempts);
     }
@@ -131,21 +138,52 @@
   /**
    * Records a crash for each attempt that broke recently at an endpoint. Call
    * it when the endpoint is unreachable or has restarted.
+   *
+   * @param detectedAt when that was detected; attempts that were sent later are
+   *   not affected
    */
-  confirmCrash(endpoint: EndpointId): void {
-    const lostAttempts = this.#lostAttempts.get(endpoint) ?? [];
+  confirmCrash(
+    endpoint: EndpointId,
+    detectedAt = this.#options.clock.now(),
+  ): void {
+    const lostAttempts = this.#listLost(endpoint);
+    const later = lostAttempts.filter(({ sentAt }) => sentAt > detectedAt);
     this.#lostAttempts.delete(endpoint);
+    if (later.length > 0) {
+      this.#lostAttempts.set(endpoint, later);
+    }
     this.#settleResponses();
-    const earliest = this.#options.clock.now() -
-      CRASH_CONFIRMATION_MILLISECONDS;
     this.#confirmations++;
     for (const attempt of lostAttempts) {
-      if ((attempt.lostAt ?? -Infinity) >= earliest) {
+      if (attempt.sentAt <= detectedAt) {
         this.#recordCrash(attempt);
       }
     }
   }
 
+  /** Merges a peer's report that an endpoint is unreachable for some time. */
+  mergeDownReport(endpoint: EndpointId, ageMilliseconds: number): void {
+    if (this.#lostAttempts.has(endpoint)) {
+      this.confirmCrash(
+        endpoint,
+        this.#options.clock.now() - ageMilliseconds,
+      );
+    }
+  }
+
+  /**
+   * Records that a process has just started. Another one that was reached at
+   * its address before has ended, whatever id it had.
+   */
+  recordStart(record: EndpointRecord): void {
+    const address = formatAddress(record);
+    for (const [endpoint, [attempt]] of [...this.#lostAttempts]) {
+      if (endpoint === record.id || attempt?.address === address) {
+        this.confirmCrash(endpoint);
+      }
+    }
+  }
+
   /** Lists the crashes and sound parts that other VMs need to know of. */
   listReports(): { crashes: CrashReport[]; soundParts: SoundPart[] } {
     this.#settleResponses();
@@ -168,6 +206,14 @@
     }
   }
 
+  /** The attempts that broke at an endpoint recently. */
+  #listLost(endpoint: EndpointId): TrackedAttempt[] {
+    const earliest = this.#options.clock.now() -
+      CRASH_CONFIRMATION_MILLISECONDS;
+    return (this.#lostAttempts.get(endpoint) ?? [])
+      .filter(({ lostAt }) => (lostAt ?? -Infinity) >= earliest);
+  }
+
   #recordCrash(attempt: TrackedAttempt): void {
     const { suspects, logger } = this.#options;
     const { endpoint, startedAtUnixMilliseconds, fingerprint } = attempt;
@@ -234,6 +280,10 @@
     at - respondingAt >= SOUND_RESPONSE_MILLISECONDS;
 }
 
+function formatAddress({ host, port }: EndpointRecord): string {
+  return `${host}:${port}`;
+}
+
 function listSuspectParts(attempt: TrackedAttempt): SuspectPart[] {
   return attempt.sharedParts.map((part, depth) => ({
     part,
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -154,6 +154,7 @@
         id,
         buildEndpoint(id, {
           zone,
+          port: index + 1,
           coldMilliseconds: options.isCold === true ? COLD_MILLISECONDS : 0,
           startedAtUnixMilliseconds: -COLD_MILLISECONDS,
         }),
