Limit what an HTTP answer consists of besides its body

What callers saw: an endpoint that sends bytes without end in a head, or between the parts of a body, took the whole processor of a VM until the deadline; other callers were answered late or refused.

Cause: undici limits the headers of one head. Interim answers, the reason of a status line, extensions of chunk sizes and the framing of tiny chunks have no limit, and no handler of the transport is called for the first three.

Evidence, before: an answer with interim answers, a status line, a chunk extension or chunks of one byte without end is still open at 1.5 s, the timeout of a route (4 tests: "expected 'open' to include { kind: 'broken' }"). Header and trailer fields were given up before, too (2 tests).

Change: createLimitedPool counts the bytes that a connection delivers and those that are the body of the current answer. An answer fails when the rest exceeds 64 KiB plus the length of its body. Endpoints of forwarding routes, the product's own endpoint client and the calls to the platform's services use it. A sound answer in chunks of six bytes and more has less framing than body; an answer in smaller chunks may have 64 KiB of it.

After: the 7 tests pass; a long answer in chunks of 10 bytes is received whole, five times in a row on kept connections. Tests of the platform's clients pass.

--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -5,8 +5,10 @@
   addAbortListener,
   ConnectError,
   createConnector,
+  createLimitedPool,
+  type LimitedPool,
 } from "@rattanvane/platform";
-import { type buildConnector, type Dispatcher, Pool } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
 import type { AnswerHeaders } from "../model/dialect.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
@@ -76,7 +78,7 @@
 /** Keeps one connection pool for each address. */
 export class EndpointTransport {
   readonly #resetState: ResetState = { isResetting: false };
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, LimitedPool>();
   readonly #localAddress: string;
   readonly #signal: AbortSignal;
 
@@ -103,7 +105,7 @@
       receiver.fail({ kind: TransportFailureKind.NotSent, reason });
       return handler;
     }
-    pool.dispatch({
+    pool.dispatcher.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
       headers: request.headers,
@@ -118,7 +120,7 @@
   closeConnections(address: string): void {
     const pool = this.#pools.get(address);
     this.#pools.delete(address);
-    void pool?.close();
+    void pool?.pool.close();
   }
 
   /**
@@ -155,7 +157,7 @@
   }
 
   /** Returns undefined for an address to which nothing can be sent. */
-  #findOrCreatePool(address: string): Pool | undefined {
+  #findOrCreatePool(address: string): LimitedPool | undefined {
     const existing = this.#pools.get(address);
     if (existing !== undefined) {
       return existing;
@@ -164,7 +166,7 @@
     if (!URL.canParse(url)) {
       return undefined;
     }
-    const pool = new Pool(url, {
+    const pool = createLimitedPool(url, {
       connect: this.#createConnector(),
       keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
@@ -172,7 +174,7 @@
       allowH2: false,
     });
     this.#pools.set(address, pool);
-    addAbortListener(this.#signal, () => void pool.destroy());
+    addAbortListener(this.#signal, () => void pool.pool.destroy());
     return pool;
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -0,0 +1,150 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createLifetime, Deferred } from "@rattanvane/base";
+import { expect } from "chai";
+import { afterEach, beforeEach, describe, it } from "mocha";
+import type { AnswerHeaders } from "../model/dialect.ts";
+import {
+  type AnswerControl,
+  AnswerReceiver,
+  EndpointTransport,
+  type TransportFailure,
+  TransportFailureKind,
+} from "./endpoint_transport.ts";
+
+const LOOPBACK_HOST = "127.0.0.1";
+/** A caller has its answer by then, in milliseconds. */
+const ROUTE_TIMEOUT = 1_500;
+const REQUEST = {
+  method: "GET",
+  target: "/",
+  headers: [],
+  body: new Uint8Array(),
+};
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/** Bytes that an endpoint sends first and those that it repeats without end. */
+const ENDLESS_ANSWERS = {
+  "interim answers": ["", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"],
+  "a status line": ["HTTP/1.1 200 ", "reason "],
+  "a chunk extension": [`${CHUNKED_HEAD}5;`, "name=value;"],
+  "chunks of one byte": [CHUNKED_HEAD, "1\r\n0\r\n"],
+  "header fields": ["HTTP/1.1 200 OK\r\n", "name: value\r\n"],
+  "trailer fields": [`${CHUNKED_HEAD}0\r\n`, "name: value\r\n"],
+};
+
+/** Records what it is called with. */
+class RecordingReceiver extends AnswerReceiver {
+  readonly outcome = new Deferred<TransportFailure | undefined>();
+  control: AnswerControl | undefined;
+  bytes = 0;
+  pieces = 0;
+
+  override begin(
+    _status: number,
+    _headers: AnswerHeaders,
+    control: AnswerControl,
+  ): void {
+    this.control = control;
+  }
+
+  override receive(chunk: Uint8Array): void {
+    this.bytes += chunk.length;
+    this.pieces++;
+  }
+
+  override end(): void {
+    this.outcome.resolve(undefined);
+  }
+
+  override fail(cause: TransportFailure): void {
+    this.outcome.resolve(cause);
+  }
+}
+
+/** Writes as fast as the connection takes it, until it is closed. */
+function sendEndlessly(socket: Socket, first: string, repeated: string): void {
+  const block = Buffer.from(repeated.repeat(2_000));
+  const write = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on("drain", write);
+  socket.write(first);
+  write();
+}
+
+describe("EndpointTransport", () => {
+  let lifetime = createLifetime();
+  let transport = new EndpointTransport(LOOPBACK_HOST, lifetime.signal);
+  let sockets: Socket[] = [];
+  beforeEach(() => {
+    lifetime = createLifetime();
+    transport = new EndpointTransport(LOOPBACK_HOST, lifetime.signal);
+    sockets = [];
+  });
+  afterEach(() => {
+    lifetime.abort();
+    sockets.forEach((socket) => socket.destroy());
+  });
+
+  /** Starts an endpoint; `answer` is called with each request. */
+  async function startEndpoint(
+    answer: (socket: Socket) => void,
+  ): Promise<string> {
+    const server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on("error", () => socket.destroy());
+      socket.on("data", () => answer(socket));
+    });
+    server.listen(0, LOOPBACK_HOST);
+    await once(server, "listening");
+    lifetime.signal.addEventListener("abort", () => server.close());
+    return `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
+  }
+
+  function send(address: string): RecordingReceiver {
+    const receiver = new RecordingReceiver();
+    const request = transport.send(address, REQUEST, receiver);
+    lifetime.signal.addEventListener("abort", () => request.cancel());
+    return receiver;
+  }
+
+  /** Undefined when the request is still open at the route's timeout. */
+  async function waitForOutcome(receiver: RecordingReceiver) {
+    const timeout = new Deferred<"open">();
+    const timer = setTimeout(() => timeout.resolve("open"), ROUTE_TIMEOUT);
+    const outcome = await Promise.race([
+      receiver.outcome.promise,
+      timeout.promise,
+    ]);
+    clearTimeout(timer);
+    return outcome;
+  }
+
+  for (const [kind, [first, repeated]] of Object.entries(ENDLESS_ANSWERS)) {
+    // Such bytes pass every limit on headers and bodies, and took the whole
+    // processor of a VM until the deadline of the request.
+    it(`gives up an answer with ${kind} without end`, async () => {
+      const address = await startEndpoint((socket) =>
+        sendEndlessly(socket, first as string, repeated as string)
+      );
+      const receiver = send(address);
+      const outcome = await waitForOutcome(receiver);
+      expect(outcome).to.include({ kind: TransportFailureKind.Broken });
+    });
+  }
+
+  it("receives a long answer in small chunks, and answers after each other", async () => {
+    const chunk = `a\r\n${"x".repeat(10)}\r\n`;
+    const address = await startEndpoint((socket) =>
+      socket.write(`${CHUNKED_HEAD}${chunk.repeat(15_000)}0\r\n\r\n`)
+    );
+    for (let answer = 0; answer < 5; answer++) {
+      const receiver = send(address);
+      expect(await waitForOutcome(receiver)).to.equal(undefined);
+      expect(receiver.bytes).to.equal(150_000);
+    }
+    expect(sockets.length).to.be.below(5);
+  });
+});
--- a/packages/platform/src/http/endpoint_exchange.ts
+++ b/packages/platform/src/http/endpoint_exchange.ts
@@ -2,7 +2,7 @@
 
 import { type Clock, describeError } from "@rattanvane/base";
 import { err, ok, type Result } from "neverthrow";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import type { EndpointAddress, HttpHeader } from "../endpoint_client.ts";
 import { EndpointError, EndpointErrorKind } from "../endpoint_error.ts";
 import { addAbortListener } from "./abort_listener.ts";
@@ -13,6 +13,7 @@
   convertFromIncoming,
   convertToFlatHeaders,
 } from "./endpoint_headers.ts";
+import { createLimitedPool, type LimitedPool } from "./framing_limit.ts";
 
 const STREAM_BUFFER_BYTES = 64 * 1024;
 
@@ -40,8 +41,7 @@
   localAddress: string;
 }
 
-interface EndpointPool {
-  pool: Pool;
+interface EndpointPool extends LimitedPool {
   pathPrefix: string;
 }
 
@@ -69,8 +69,8 @@
     const timer = new CallTimer(this.#options.clock, signal);
     timer.startLimit(exchange.firstByteTimeoutMilliseconds);
     try {
-      const { pool, pathPrefix } = this.#findPool(address);
-      const answer = await pool.request({
+      const { dispatcher, pathPrefix } = this.#findPool(address);
+      const answer = await dispatcher.request({
         method: exchange.method as Dispatcher.HttpMethod,
         path: pathPrefix + exchange.path,
         headers: convertToFlatHeaders(exchange.headers),
@@ -107,13 +107,13 @@
       return known;
     }
     const { origin, pathPrefix } = parseBaseUrl(address.url);
-    const pool = new Pool(origin, {
+    const limited = createLimitedPool(origin, {
       connect: createConnector(this.#options),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    const created = { pool, pathPrefix };
+    const created = { ...limited, pathPrefix };
     this.#pools.set(address.url, created);
     return created;
   }
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -7,13 +7,13 @@
   type RandomSource,
 } from "@rattanvane/base";
 import { err, ok, type Result } from "neverthrow";
-import { Pool } from "undici";
 import type { PlatformError, PlatformErrorKind } from "../platform_error.ts";
 import { addAbortListener } from "./abort_listener.ts";
 import { parseBaseUrl } from "./base_url.ts";
 import { readBody } from "./body_reader.ts";
 import { CallTimer } from "./call_timer.ts";
 import { createConnector } from "./connector.ts";
+import { createLimitedPool, type LimitedPool } from "./framing_limit.ts";
 import type { PlatformBudget } from "./platform_budget.ts";
 import {
   createBudgetError,
@@ -57,7 +57,7 @@
 /** The way to the platform that all clients of one VM share. */
 export class PlatformTransport {
   readonly #options: Required<PlatformTransportOptions>;
-  readonly #pool: Pool;
+  readonly #pool: LimitedPool;
   readonly #pathPrefix: string;
 
   constructor(options: PlatformTransportOptions, signal: AbortSignal) {
@@ -72,13 +72,13 @@
     };
     const { origin, pathPrefix } = parseBaseUrl(options.url);
     this.#pathPrefix = pathPrefix;
-    this.#pool = new Pool(origin, {
+    this.#pool = createLimitedPool(origin, {
       connections: DEFAULT_CONNECTIONS,
       connect: createConnector(this.#options),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    addAbortListener(signal, () => void this.#pool.destroy());
+    addAbortListener(signal, () => void this.#pool.pool.destroy());
   }
 
   /**
@@ -165,7 +165,7 @@
     timer: CallTimer,
   ): Promise<Result<PlatformAnswer, FailedTry>> {
     try {
-      const response = await this.#pool.request({
+      const response = await this.#pool.dispatcher.request({
         method: call.method,
         path: this.#pathPrefix + call.path,
         body: call.body ?? null,
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -10,6 +10,12 @@
   type ConnectorOptions,
   createConnector,
 } from "./http/connector.ts";
+export {
+  createLimitedPool,
+  FramingLimitError,
+  type LimitedPool,
+  type LimitedPoolOptions,
+} from "./http/framing_limit.ts";
 export { collectForwardedHeaders } from "./http/endpoint_headers.ts";
 export { type PlatformCall, PlatformCallKind } from "./http/platform_call.ts";
 export {
