Receive an answer no faster than a limit on its pieces and bytes

Cause: nothing limits the work that one answer takes from the event loop's other work. A stream has no limit on its length, and a limit on bytes allows millions of pieces.

Evidence, before: in 1.5 s, one answer delivered 4,528,183 lines or 4,672,171 events, each in a chunk of its own ("expected 4528183 to be below 75000", which is a tenth of a core at 2 microseconds a piece).

Pausing is not giving up: a sound answer that is ahead goes on at that pace. The receiver's own pause, for a slow caller, holds beside it.

--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -212,7 +212,10 @@
 
   #relayEvents(chunk: Uint8Array): void {
     const { answer, splitter } = this.#options;
+    const eventsBefore = splitter.eventCount;
     const events = splitter.split(chunk);
+    const moreEvents = splitter.eventCount - eventsBefore - 1;
+    this.#control?.recordPieces(Math.max(0, moreEvents));
     if (splitter.incompleteBytes > MAX_EVENT_BYTES) {
       this.#rejectAnswer("An event of the stream exceeds the size limit");
       return;
--- a/packages/forwarding/src/ingress/attempt_run_test.ts
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -45,6 +45,7 @@
     receiver.begin(status, HEADERS, {
       pause: () => {},
       resume: () => {},
+      recordPieces: () => {},
       cancel: () => this.isCancelled = true,
     });
     return receiver;
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -9,7 +9,9 @@
   type LimitedPool,
 } from "@rattanvane/platform";
 import type { buildConnector, Dispatcher } from "undici";
+import { type Clock, SystemClock } from "@rattanvane/base";
 import type { AnswerHeaders } from "../model/dialect.ts";
+import { AnswerPace } from "./answer_pace.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /** Applies where the endpoint states no time-out of its own. */
@@ -45,6 +47,8 @@
 export interface AnswerControl {
   pause(): void;
   resume(): void;
+  /** Counts pieces of the answer that were found in a chunk, beyond the first. */
+  recordPieces(count: number): void;
   /** Closes the connection; the receiver is not called again. */
   cancel(): void;
 }
@@ -79,6 +83,7 @@
 export class EndpointTransport {
   readonly #resetState: ResetState = { isResetting: false };
   readonly #pools = new Map<string, LimitedPool>();
+  readonly #clock: Clock = new SystemClock();
   readonly #localAddress: string;
   readonly #signal: AbortSignal;
 
@@ -97,7 +102,10 @@
     request: EndpointRequest,
     receiver: AnswerReceiver,
   ): SentRequest {
-    const handler = new AnswerHandler(receiver, this.#resetState);
+    const handler = new AnswerHandler(receiver, {
+      resetState: this.#resetState,
+      clock: this.#clock,
+    });
     const isEmpty = request.body.length === 0;
     const pool = this.#findOrCreatePool(address);
     if (pool === undefined) {
@@ -188,20 +196,33 @@
   return socket.errored !== null;
 }
 
+interface AnswerHandlerOptions {
+  resetState: ResetState;
+  clock: Clock;
+}
+
 /** Forwards undici's events until the request ends or is cancelled. */
 class AnswerHandler implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: AnswerReceiver;
   readonly #resetState: ResetState;
+  readonly #pace: AnswerPace;
   #controller: Dispatcher.DispatchController | undefined;
+  /** Whether the receiver, and the pace of the answer, have paused it. */
+  #isPausedByReceiver = false;
+  #paceTimer: NodeJS.Timeout | undefined;
   #isFinished = false;
 
-  constructor(receiver: AnswerReceiver, resetState: ResetState) {
+  constructor(
+    receiver: AnswerReceiver,
+    { resetState, clock }: AnswerHandlerOptions,
+  ) {
     this.#receiver = receiver;
     this.#resetState = resetState;
+    this.#pace = new AnswerPace(clock);
   }
 
   cancel(): void {
-    this.#isFinished = true;
+    this.#finish();
     this.#controller?.abort(new Error("The request was cancelled"));
   }
 
@@ -222,8 +243,15 @@
       return;
     }
     this.#receiver.begin(status, headers, {
-      pause: () => controller.pause(),
-      resume: () => controller.resume(),
+      pause: () => {
+        this.#isPausedByReceiver = true;
+        controller.pause();
+      },
+      resume: () => {
+        this.#isPausedByReceiver = false;
+        this.#resume();
+      },
+      recordPieces: (count) => this.#recordPieces(count),
       cancel: () => this.cancel(),
     });
   }
@@ -232,16 +260,19 @@
     _controller: Dispatcher.DispatchController,
     chunk: Uint8Array,
   ): void {
-    if (!this.#isFinished) {
-      this.#receiver.receive(chunk);
+    if (this.#isFinished) {
+      return;
     }
+    this.#pace.recordPieces(1, chunk.length);
+    this.#keepPace();
+    this.#receiver.receive(chunk);
   }
 
   onResponseEnd(): void {
     if (this.#isFinished) {
       return;
     }
-    this.#isFinished = true;
+    this.#finish();
     if (this.#resetState.isResetting) {
       const reason = "The connection was reset before the answer was complete";
       this.#receiver.fail({ kind: TransportFailureKind.Broken, reason });
@@ -257,10 +288,40 @@
     if (this.#isFinished) {
       return;
     }
-    this.#isFinished = true;
+    this.#finish();
     const kind = error instanceof ConnectError
       ? TransportFailureKind.NotSent
       : TransportFailureKind.Broken;
     this.#receiver.fail({ kind, reason: error.message });
   }
+
+  #recordPieces(count: number): void {
+    this.#pace.recordPieces(count, 0);
+    this.#keepPace();
+  }
+
+  /** Pauses an answer that is ahead of its pace. */
+  #keepPace(): void {
+    if (!this.#pace.isExceeded || this.#paceTimer !== undefined) {
+      return;
+    }
+    this.#controller?.pause();
+    this.#paceTimer = setTimeout(() => {
+      this.#paceTimer = undefined;
+      this.#resume();
+    }, this.#pace.computePause());
+  }
+
+  /** Goes on with the answer if nothing pauses it any more. */
+  #resume(): void {
+    const isPaused = this.#isPausedByReceiver || this.#paceTimer !== undefined;
+    if (!isPaused && !this.#isFinished) {
+      this.#controller?.resume();
+    }
+  }
+
+  #finish(): void {
+    this.#isFinished = true;
+    clearTimeout(this.#paceTimer);
+  }
 }
--- a/packages/forwarding/src/ingress/endpoint_transport_test.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -16,6 +16,8 @@
 const LOOPBACK_HOST = "127.0.0.1";
 /** A caller has its answer by then, in milliseconds. */
 const ROUTE_TIMEOUT = 1_500;
+/** A tenth of a core at two microseconds a piece, until the timeout. */
+const MAX_PIECES = 75_000;
 const REQUEST = {
   method: "GET",
   target: "/",
@@ -147,4 +149,50 @@
     }
     expect(sockets.length).to.be.below(5);
   });
+
+  // Small pieces that are no framing pass the limit on it: their number is
+  // limited by time, so that other requests of the VM are answered meanwhile.
+  for (
+    const [kind, chunk] of Object.entries({
+      "lines in chunks of their own": "6\r\nid: 1\n\r\n",
+      "events in chunks of their own": "9\r\ndata: 1\n\n\r\n",
+    })
+  ) {
+    it(`receives ${kind} without end no faster than the limit`, async () => {
+      const address = await startEndpoint((socket) =>
+        sendEndlessly(socket, CHUNKED_HEAD, chunk)
+      );
+      const receiver = send(address);
+      expect(await waitForOutcome(receiver)).to.equal("open");
+      expect(receiver.pieces).to.be.below(MAX_PIECES);
+      receiver.control?.cancel();
+    });
+  }
+
+  it("receives as fast as the endpoint sends what is not in small pieces", async () => {
+    const chunk = `10000\r\n${"x".repeat(0x10000)}\r\n`;
+    const address = await startEndpoint((socket) =>
+      socket.write(`${CHUNKED_HEAD}${chunk.repeat(100)}0\r\n\r\n`)
+    );
+    const receiver = send(address);
+    expect(await waitForOutcome(receiver)).to.equal(undefined);
+    expect(receiver.bytes).to.equal(100 * 0x10000);
+  });
+
+  it("stays paused while the receiver is, whatever the limit allows", async () => {
+    const address = await startEndpoint((socket) =>
+      sendEndlessly(socket, CHUNKED_HEAD, "6\r\nid: 1\n\r\n")
+    );
+    const receiver = send(address);
+    await waitForOutcome(receiver);
+    receiver.control?.pause();
+    const { pieces } = receiver;
+    expect(await waitForOutcome(receiver)).to.equal("open");
+    // undici passes on the piece that it has already parsed.
+    expect(receiver.pieces).to.be.at.most(pieces + 1);
+    receiver.control?.resume();
+    expect(await waitForOutcome(receiver)).to.equal("open");
+    expect(receiver.pieces).to.be.above(pieces + 1);
+    receiver.control?.cancel();
+  });
 });
