Limit the memory of all incomplete answers of a VM

What callers saw: several answers without end at a time take more memory than a VM has, though each is below its own limit of 16 MiB; the platform then ends the process, and the requests of all callers with it.

Cause: the limits apply to one answer; nothing limits their sum.

Evidence, before: 24 answers of 15 MB at one faulty endpoint held 441 MB at most ("expected to be below", the memory of the smallest VM in use).

Change: AnswerMemory counts the bytes of bodies and of incomplete events that all attempts hold. Above 32 MiB, the longest one is given up, which is never a short sound answer. Its attempt ends as broken, with the reason in its log line.

After: the test passes, with a sound request that is served meanwhile; so does a test of three endless answers beside a sound one with a limit of 1 MiB.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -17,6 +17,7 @@
 import { FleetState } from "./state/fleet_state.ts";
 import type { RowDecoder } from "./state/row_decoder.ts";
 import type { ForwardingSettings } from "./forwarding_settings.ts";
+import { AnswerMemory } from "./ingress/answer_memory.ts";
 import { CallReader, RejectionKind } from "./ingress/call_reader.ts";
 import type { CallerAnswer } from "./ingress/caller_answer.ts";
 import { EndpointTransport } from "./ingress/endpoint_transport.ts";
@@ -48,6 +49,8 @@
 const FORCED_CLOSE_MARGIN_MILLISECONDS = 600;
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 20;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** A fraction of the memory of a small VM, which has 178 MB in all. */
+const MAX_HELD_ANSWER_BYTES = 32 * 1024 * 1024;
 /** Margin between the maximum age of key data and the revocation bound. */
 const REVOCATION_MARGIN_MILLISECONDS = 400;
 
@@ -80,6 +83,7 @@
   readonly #crashes: CrashTracker;
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
+  readonly #answerMemory = new AnswerMemory(MAX_HELD_ANSWER_BYTES);
   readonly #limits: EndpointLimits;
   readonly #pauses: EndpointPauses;
   readonly #prober: EndpointProber;
@@ -350,6 +354,7 @@
       logger: this.#options.logger.forPart("ingress"),
       dialect: this.#options.dialect,
       transport: this.#transport,
+      memory: this.#answerMemory,
       metrics: this.#metrics,
       admission: this.#fleet.admission,
       directory: this.#state.directory,
--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { expect } from "chai";
@@ -29,6 +30,12 @@
   "HTTP/1.0 200 OK\r\nx-seal: s\r\nx-request: r1\r\n",
 ];
 
+/** The memory of the smallest VM in use. */
+const SMALL_VM_BYTES = 178e6;
+const ENDLESS_ANSWERS = 24;
+const ENDLESS_ANSWER_PIECES = 150;
+const ENDLESS_ANSWER_PIECE = Buffer.alloc(100_000);
+
 const LIMIT_PER_SECOND = 5;
 /** A VM that has passed on a limit keeps to it after this time. */
 const LIMIT_NOTICE_MILLISECONDS = 500;
@@ -677,6 +684,40 @@
     expect(counted).to.be.at.least(2);
   });
 
+  // Each answer is below the limit of its own; together they exceeded the
+  // memory of a VM.
+  it("holds a limited number of bytes of answers that do not end", async () => {
+    applyRoute({ repeatability: Repeatability.Once });
+    await harness.startEndpoint("e1", (received, response) => {
+      if (received.body === "") {
+        sendValidResponse(received, response);
+        return;
+      }
+      response.writeHead(200, {
+        "x-seal": "seal-of-e1",
+        "x-request": String(received.request.headers["x-request"]),
+      });
+      for (let piece = 0; piece < ENDLESS_ANSWER_PIECES; piece++) {
+        response.write(ENDLESS_ANSWER_PIECE);
+      }
+    });
+    const router = await harness.startReadyRouter();
+    const before = process.memoryUsage().arrayBuffers;
+    const endless = Array.from(
+      { length: ENDLESS_ANSWERS },
+      () => harness.send(router, { body: "endless" }),
+    );
+    let highest = 0;
+    for (let check = 0; check < 100; check++) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+      const { arrayBuffers } = process.memoryUsage();
+      highest = Math.max(highest, arrayBuffers - before);
+    }
+    expect((await harness.send(router)).status).to.equal(200);
+    expect(highest).to.be.below(SMALL_VM_BYTES);
+    await Promise.all(endless);
+  });
+
   it("answers all callers while an odd entry is among the endpoints", async () => {
     applyRoute({ repeatability: Repeatability.Once, attempts: 1 });
     for (const [id, port] of [["odd-1", 99_999], ["odd-2", 0]] as const) {
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -10,6 +10,7 @@
 } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
 import type { GrantedEndpoint } from "../admission/admission.ts";
+import type { AnswerMemory, HeldAnswer } from "./answer_memory.ts";
 import { type CallerAnswer, isFramed } from "./caller_answer.ts";
 import {
   type AnswerControl,
@@ -38,6 +39,8 @@
   transport: EndpointTransport;
   clock: Clock;
   answer: CallerAnswer;
+  /** Shared by all attempts of this VM. */
+  memory: AnswerMemory;
   /** Shared by all attempts of a request, so that a stream can be resumed. */
   splitter: EventSplitter;
   /** Called once, when the first byte or event of the answer arrives. */
@@ -51,7 +54,7 @@
 }
 
 /** One attempt. Forwards the events of a stream as they arrive. */
-export class AttemptRun extends AnswerReceiver {
+export class AttemptRun extends AnswerReceiver implements HeldAnswer {
   readonly #options: AttemptRunOptions;
   readonly #outcome = new Deferred<AttemptOutcome>();
   readonly #body = new ByteCollector();
@@ -72,6 +75,8 @@
   #longestPauseMilliseconds = 0;
   #pauseAt = 0;
   #isFinished = false;
+  /** The bytes that the memory of answers counts for this one. */
+  #countedBytes = 0;
 
   constructor(options: AttemptRunOptions) {
     super();
@@ -79,6 +84,17 @@
     this.#sentAt = options.clock.now();
   }
 
+  /** The bytes of the body, or of an incomplete event, that are held. */
+  get heldBytes(): number {
+    return this.#body.length +
+      (this.#isFinished ? 0 : this.#options.splitter.incompleteBytes);
+  }
+
+  /** Gives the answer up for those of other requests. */
+  giveUp(): void {
+    this.#rejectAnswer("This VM holds too many bytes of incomplete answers");
+  }
+
   /** Sends the attempt and resolves with its outcome; an abort cancels it. */
   async run(signal: AbortSignal): Promise<AttemptOutcome> {
     const stop = () => this.#stop();
@@ -143,6 +159,7 @@
       return;
     }
     this.#body.append(chunk);
+    this.#countBytes();
   }
 
   override end(): void {
@@ -220,7 +237,8 @@
       this.#rejectAnswer("An event of the stream exceeds the size limit");
       return;
     }
-    if (events.length === 0) {
+    this.#countBytes();
+    if (events.length === 0 || this.#isFinished) {
       return;
     }
     this.#recordFirstByte();
@@ -235,6 +253,15 @@
     }
   }
 
+  /** Updates the memory of answers, which may give this one up. */
+  #countBytes(): void {
+    const { heldBytes } = this;
+    if (heldBytes !== this.#countedBytes) {
+      this.#countedBytes = heldBytes;
+      this.#options.memory.update(this);
+    }
+  }
+
   #updateLongestPause(): void {
     const now = this.#options.clock.now();
     const pause = now - this.#lastEventAt;
@@ -320,6 +347,7 @@
     this.#isFinished = true;
     this.#body.clear();
     this.#options.splitter.removeIncompleteEvent();
+    this.#countBytes();
     this.#outcome.resolve({
       kind,
       reason,
--- a/packages/forwarding/src/ingress/attempt_run_test.ts
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -10,6 +10,7 @@
 import { TestDialect } from "../testing/test_dialect.ts";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import { Repeatability } from "../model/route.ts";
+import { AnswerMemory } from "./answer_memory.ts";
 import { AttemptRun } from "./attempt_run.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import {
@@ -52,7 +53,10 @@
   }
 }
 
-function startAttempt(repeatability: Repeatability) {
+function startAttempt(
+  repeatability: Repeatability,
+  memory = new AnswerMemory(Infinity),
+) {
   const { signal } = createLifetime();
   const transport = new ManualTransport("127.0.0.1", signal);
   const response = new ServerResponse(new IncomingMessage(new Socket()));
@@ -63,6 +67,7 @@
     transport,
     clock: new SystemClock(),
     answer: new CallerAnswer(response, () => false),
+    memory,
     splitter: new EventSplitter(),
     onAnswering: () => {},
     onLeaving: () => {},
@@ -115,4 +120,28 @@
     expect(kind).to.equal(OutcomeKind.Broken);
     expect(reason).to.equal("An event of the stream exceeds the size limit");
   });
+
+  it("gives up the longest answer when all together take too much memory", async () => {
+    const memory = new AnswerMemory(MEBIBYTE);
+    const piece = Buffer.alloc(1_000, "0\n");
+    const sound = startAttempt(Repeatability.Idempotent, memory);
+    const soundReceiver = sound.transport.begin();
+    soundReceiver.receive(piece);
+    const endless = [
+      Repeatability.Idempotent,
+      Repeatability.Stream,
+      Repeatability.Stream,
+    ].map((repeatability) => startAttempt(repeatability, memory));
+    const receivers = endless.map(({ transport }) => transport.begin());
+    for (let round = 0; round < 3_000; round++) {
+      receivers.forEach((receiver) => receiver.receive(piece));
+      expect(memory.bytes).to.be.at.most(MEBIBYTE);
+    }
+    soundReceiver.end();
+    expect((await sound.outcome).kind).to.equal(OutcomeKind.Answered);
+    for (const { outcome } of endless) {
+      expect((await outcome).kind).to.equal(OutcomeKind.Broken);
+    }
+    expect(memory.bytes).to.equal(0);
+  });
 });
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -16,6 +16,7 @@
 import { type Refusal, RefusalKind } from "../scheduling/refusal.ts";
 import type { EndpointDirectory } from "../state/endpoint_directory.ts";
 import type { EndpointLimits } from "../state/endpoint_limits.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 import { AttemptRun, isStreamed } from "./attempt_run.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EndpointTransport } from "./endpoint_transport.ts";
@@ -38,6 +39,7 @@
   logger: Logger;
   dialect: Dialect;
   transport: EndpointTransport;
+  memory: AnswerMemory;
   metrics: ForwardingMetrics;
   admission: Admission;
   directory: EndpointDirectory;
