Tell a peer's report of an earlier crash from a crash of the next process

What callers would see: requests that ran when a connection to a restarted endpoint was reset count as running in a crash, and are refused after the third.

Cause: mergeReports confirmed all lost attempts at an endpoint's id whenever a peer's report named it. Reports are repeated for minutes, also after the endpoint has started again.

Evidence, before: "does not take a peer's report of an earlier process for a crash of the next one: expected true to equal false".

Change: only attempts at the process of the report, or at an earlier one, are confirmed. The three kinds of confirmation share one method.

--- a/packages/forwarding/src/state/crash_tracker.ts
+++ b/packages/forwarding/src/state/crash_tracker.ts
@@ -138,37 +138,15 @@
   /**
    * Records a crash for each attempt that broke recently at an endpoint. Call
    * it when the endpoint is unreachable or has restarted.
-   *
-   * @param detectedAt when that was detected; attempts that were sent later are
-   *   not affected
    */
-  confirmCrash(
-    endpoint: EndpointId,
-    detectedAt = this.#options.clock.now(),
-  ): void {
-    const lostAttempts = this.#listLost(endpoint);
-    const later = lostAttempts.filter(({ sentAt }) => sentAt > detectedAt);
-    this.#lostAttempts.delete(endpoint);
-    if (later.length > 0) {
-      this.#lostAttempts.set(endpoint, later);
-    }
-    this.#settleResponses();
-    this.#confirmations++;
-    for (const attempt of lostAttempts) {
-      if (attempt.sentAt <= detectedAt) {
-        this.#recordCrash(attempt);
-      }
-    }
+  confirmCrash(endpoint: EndpointId): void {
+    this.#confirmAttempts(endpoint, () => true);
   }
 
   /** Merges a peer's report that an endpoint is unreachable for some time. */
   mergeDownReport(endpoint: EndpointId, ageMilliseconds: number): void {
-    if (this.#lostAttempts.has(endpoint)) {
-      this.confirmCrash(
-        endpoint,
-        this.#options.clock.now() - ageMilliseconds,
-      );
-    }
+    const detectedAt = this.#options.clock.now() - ageMilliseconds;
+    this.#confirmAttempts(endpoint, ({ sentAt }) => sentAt <= detectedAt);
   }
 
   /**
@@ -199,9 +177,35 @@
     soundParts: readonly SoundPart[],
   ): void {
     this.#parts.merge(crashes, soundParts);
-    for (const { endpoint } of crashes) {
-      if (this.#lostAttempts.has(endpoint)) {
-        this.confirmCrash(endpoint);
+    for (const { endpoint, startedAtUnixMilliseconds } of crashes) {
+      // A report is repeated for long after the endpoint's next start.
+      this.#confirmAttempts(
+        endpoint,
+        (attempt) =>
+          attempt.startedAtUnixMilliseconds <= startedAtUnixMilliseconds,
+      );
+    }
+  }
+
+  /** Records a crash for some of the attempts that broke recently. */
+  #confirmAttempts(
+    endpoint: EndpointId,
+    isAffected: (attempt: TrackedAttempt) => boolean,
+  ): void {
+    if (!this.#lostAttempts.has(endpoint)) {
+      return;
+    }
+    const lostAttempts = this.#listLost(endpoint);
+    const others = lostAttempts.filter((attempt) => !isAffected(attempt));
+    this.#lostAttempts.delete(endpoint);
+    if (others.length > 0) {
+      this.#lostAttempts.set(endpoint, others);
+    }
+    this.#settleResponses();
+    this.#confirmations++;
+    for (const attempt of lostAttempts) {
+      if (isAffected(attempt)) {
+        this.#recordCrash(attempt);
       }
     }
   }
--- a/packages/forwarding/src/state/crash_tracker_test.ts
+++ b/packages/forwarding/src/state/crash_tracker_test.ts
@@ -111,4 +111,28 @@
     }
     expect(suspects.isQuarantined("f")).to.equal(true);
   });
+
+  // A peer repeats its reports for minutes; the endpoint's next process may
+  // break a connection meanwhile.
+  it("does not take a peer's report of an earlier process for a crash of the next one", () => {
+    const { clock, suspects, watch } = createWatch();
+    const report = {
+      endpoint: "e1",
+      startedAtUnixMilliseconds: 1,
+      ageMilliseconds: 0,
+      parts: [],
+    };
+    watch.recordOutcome(
+      watch.registerAttempt(
+        buildEndpoint("e1", { startedAtUnixMilliseconds: 2 }),
+        CALL,
+      ),
+      OutcomeKind.Broken,
+    );
+    watch.mergeReports([report], []);
+    expect(clock.now()).to.equal(0);
+    expect(suspects.isSuspect("f")).to.equal(false);
+    watch.mergeReports([{ ...report, startedAtUnixMilliseconds: 2 }], []);
+    expect(suspects.isSuspect("f")).to.equal(true);
+  });
 });
