--- a/packages/forwarding/src/testing/router_harness.ts
+++ b/packages/forwarding/src/testing/router_harness.ts
@@ -2,6 +2,7 @@
 
 import { once } from "node:events";
 import {
+  type Agent,
   createServer,
   type IncomingMessage,
   request as createRequest,
@@ -183,6 +184,8 @@
   method: string;
   headers: Record<string, string>;
   body: string;
+  /** Keeps the connection; without one, it is closed after the response. */
+  agent: Agent;
   /** The caller disconnects when this aborts. */
   signal: AbortSignal;
 }
@@ -199,7 +202,7 @@
       path: options.path ?? "/",
       method: options.method ?? "POST",
       headers: options.headers ?? {},
-      agent: false,
+      agent: options.agent ?? false,
       ...(options.signal === undefined ? {} : { signal: options.signal }),
     }, (response) => {
       Object.assign(result, {
