Disconnect callers that go on sending the body of a rejected request

What callers saw: a rejected request whose body does not end kept its connection open and was read for as long as its caller sent, at the cost of others. Found by looking for bytes without end on the callers' side.

Cause: IngressServer answers 404, 413 and the like and discards the rest of the body, without a limit.

Evidence, before: 4 s after a 413 and a 404 the connection is still open ("expected false to equal true", 2 tests; a connection that is refused unread ends after 3 s).

Change: the connection is closed 3 s after the rejection if the body has not ended by then.

--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -45,6 +45,9 @@
 /** A VM counts as saturated for this time after it rejected a request. */
 const SATURATION_MILLISECONDS = 200;
 
+/** A caller that still sends the body of a rejected request is disconnected. */
+const REJECTED_BODY_MILLISECONDS = 3_000;
+
 const STATUS_INTERNAL = 500;
 /** A common reason, since creating one for each request takes time. */
 const CLOSED_REASON = new Error("The response was closed");
@@ -339,7 +342,7 @@
         caller: request.socket.remoteAddress,
       });
     }
-    request.resume();
+    discardBody(request);
     answer.sendLocal(REJECTION_ANSWERS[kind]);
   }
 
@@ -366,3 +369,16 @@
     });
   }
 }
+
+/** Reads on to the end of a body, which may not come. */
+function discardBody(request: IncomingMessage): void {
+  if (request.complete) {
+    return;
+  }
+  const timer = setTimeout(
+    () => request.complete || request.socket.destroy(),
+    REJECTED_BODY_MILLISECONDS,
+  );
+  request.once("close", () => clearTimeout(timer));
+  request.resume();
+}
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { createServer as createHttpServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import {
   createSilentLogger,
   RandomSource,
@@ -27,6 +27,8 @@
 
 const CALLERS = 20;
 const SETTLING_MILLISECONDS = 300;
+/** Longer than a connection that is refused unread may stay open. */
+const REJECTED_BODY_MILLISECONDS = 4_000;
 /** A VM that passes on 300 connections a second takes these within 0.2 s. */
 const MAX_QUEUED_CONNECTIONS = 60;
 
@@ -71,6 +73,35 @@
     expect(harness.receivedRequests).to.have.lengthOf(1);
   });
 
+  // A rejected request's body was read on for as long as its caller sent it.
+  for (const path of ["/a/x", "/unknown"]) {
+    it(`closes the connection of a caller that goes on sending a rejected body to ${path}`, async () => {
+      const router = await harness.startReadyRouter();
+      const { host, port } = router.settings.callers;
+      const socket = connect(port, host);
+      let received = "";
+      socket.on("data", (chunk) => received += chunk);
+      socket.on("error", () => socket.destroy());
+      const closed = new Promise<true>((resolve) =>
+        socket.once("close", () => resolve(true))
+      );
+      socket.write(
+        `POST ${path} HTTP/1.1\r\nhost: one.example\r\nx-key: key-1\r\n` +
+          "transfer-encoding: chunked\r\n\r\n",
+      );
+      const chunk = `1000\r\n${"x".repeat(0x1000)}\r\n`;
+      const timer = setInterval(() => socket.write(chunk), 1);
+      const timeout = new Promise<false>((resolve) =>
+        setTimeout(() => resolve(false), REJECTED_BODY_MILLISECONDS)
+      );
+      const isClosed = await Promise.race([closed, timeout]);
+      clearInterval(timer);
+      socket.destroy();
+      expect(received).to.match(/^HTTP\/1.1 4(04|13) /);
+      expect(isClosed).to.equal(true);
+    });
+  }
+
   it("answers new connections while kept ones press it with requests", async () => {
     await harness.startEndpoint("e1", sendValidResponse);
     const router = await harness.startReadyRouter();
