--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -342,7 +342,7 @@
         caller: request.socket.remoteAddress,
       });
     }
-    discardBody(request);
+    settleBody(request);
     answer.sendLocal(REJECTION_ANSWERS[kind]);
   }
 
@@ -371,7 +371,7 @@
 }
 
 /** Reads on to the end of a body, which may not come. */
-function discardBody(request: IncomingMessage): void {
+function settleBody(request: IncomingMessage): void {
   if (request.complete) {
     return;
   }
