Give up a stream of the product's own interface that holds no event

What callers would see: an engine that sends lines or comments without end, none of which is an event, is read until the deadline of the request.

Cause: StreamEvents leaves the limit to its parser, which limits what it keeps; it keeps nothing of comments, ids, unknown fields and empty lines.

Evidence, before: "gives up lines without an event" fails for "id: 1", a comment, an empty line and an unknown field ("expected undefined to equal 'badResponse'", 4 tests).

Change: the characters since the last event are limited as an event is (1 MiB).

After: the tests of readStreamEvents (13) and of completions (11) pass.

--- a/packages/platform/src/http/stream_events.ts
+++ b/packages/platform/src/http/stream_events.ts
@@ -28,6 +28,9 @@
 export class StreamEvents implements AsyncIterable<StreamEvent> {
   readonly #body: AsyncIterable<Uint8Array>;
   readonly #parser: EventSourceParser;
+  readonly #eventLimitCharacters: number;
+  /** Characters that have arrived since the last event. */
+  #charactersSinceEvent = 0;
   #pendingEvents: StreamEvent[] = [];
   #error: EndpointError | undefined;
   #offset = 0;
@@ -38,9 +41,10 @@
     options: StreamEventsOptions = {},
   ) {
     this.#body = body;
+    this.#eventLimitCharacters = options.eventLimitCharacters ??
+      DEFAULT_EVENT_LIMIT_CHARACTERS;
     this.#parser = createParser({
-      maxBufferSize: options.eventLimitCharacters ??
-        DEFAULT_EVENT_LIMIT_CHARACTERS,
+      maxBufferSize: this.#eventLimitCharacters,
       onEvent: (event) => this.#addEvent(event),
       onError: (error) => {
         if (error.type === "max-buffer-size-exceeded") {
@@ -64,7 +68,7 @@
   async *[Symbol.asyncIterator](): AsyncIterator<StreamEvent> {
     const decoder = new TextDecoder();
     for await (const chunk of this.#body) {
-      this.#parser.feed(decoder.decode(chunk, { stream: true }));
+      this.#parseText(decoder.decode(chunk, { stream: true }));
       const events = this.#pendingEvents;
       this.#pendingEvents = [];
       yield* events;
@@ -74,7 +78,16 @@
     }
   }
 
+  #parseText(text: string): void {
+    this.#charactersSinceEvent += text.length;
+    this.#parser.feed(text);
+    if (this.#charactersSinceEvent > this.#eventLimitCharacters) {
+      this.#fail("An event of the stream is over the size limit");
+    }
+  }
+
   #addEvent(event: EventSourceMessage): void {
+    this.#charactersSinceEvent = 0;
     if (this.#error !== undefined) {
       return;
     }
--- a/packages/platform/src/http/stream_events_test.ts
+++ b/packages/platform/src/http/stream_events_test.ts
@@ -65,4 +65,13 @@
       expect(read.error).to.equal(error);
     });
   }
+
+  // The parser limits what it keeps, and it keeps nothing of such lines.
+  for (const line of ["id: 1\n", ": comment\n", "\n", "unknown: x\n"]) {
+    it(`gives up lines without an event: ${JSON.stringify(line)}`, async () => {
+      const { events, error } = await collectEvents(line.repeat(2_000), 64);
+      expect(events).to.deep.equal([]);
+      expect(error).to.equal(EndpointErrorKind.BadResponse);
+    });
+  }
 });
