--- a/packages/forwarding/src/fleet/deadly_part_test.ts
+++ b/packages/forwarding/src/fleet/deadly_part_test.ts
@@ -43,7 +43,7 @@
     name: "frequent, 6 VMs",
     vms: 6,
     endpoints: 6,
-    seeds: [113, 123, 149],
+    seeds: [112, 113, 123, 149],
     ...FREQUENT,
   },
 ];
