Log what distinguishes the hypotheses of the incident

The logs could not tell the hypotheses apart: a stream without a length that was cut looked like a complete one, a VM that was killed named none of the answers that it cut, and a removal that was held back looked like one that was applied at once.

Metric: rattanvane_forwarding_unframed_answers_total by outcome. For the removal: 'the removal of an endpoint is held back', 'endpoint removed' with heldMilliseconds, 'store is unavailable' with the kind of the failure and the time since the last answer. Metric: rattanvane_forwarding_held_removals.

No decision changes.

--- a/packages/base/src/node/logger.ts
+++ b/packages/base/src/node/logger.ts
@@ -66,12 +66,44 @@
 const MAXIMUM_BUFFERED_BYTES = 4 * 1024 * 1024;
 const FLUSH_DELAY_MILLISECONDS = 500;
 
+/** A logger whose lines are written some time after they were logged. */
+export class BufferedLogger extends PinoLogger {
+  readonly #flush: (callback: () => void) => void;
+
+  constructor(
+    target: pino.Logger,
+    part: string,
+    flush: (callback: () => void) => void,
+  ) {
+    super(target, part);
+    this.#flush = flush;
+  }
+
+  /**
+   * Writes the buffered lines and those that tasks log in this turn of the event
+   * loop; gives up on a reader that is too slow.
+   */
+  async flush(timeoutMilliseconds: number): Promise<void> {
+    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, timeoutMilliseconds);
+      this.#flush(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
+
 /**
  * Creates a non-blocking logger: lines are written asynchronously, at most half
  * a second after they were logged. When standard output is not drained, lines are
  * dropped and their number is logged.
  */
-export function createBufferedLogger(part: string, level: LogLevel): Logger {
+export function createBufferedLogger(
+  part: string,
+  level: LogLevel,
+): BufferedLogger {
   const destination = pino.destination({
     fd: 1,
     sync: false,
@@ -99,7 +131,9 @@
   destination.on("drop", () => dropped++);
   destination.on("error", () => dropped++);
   const target = pino({ level, base: undefined }, { write });
-  return new PinoLogger(target, part);
+  return new BufferedLogger(target, part, (callback) => {
+    destination.flush(() => callback());
+  });
 }
 
 /** Creates a logger that discards all messages, for tests and tools. */
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -396,6 +396,7 @@
       countPeers: () => this.#fleet.countLiveSchedulers(),
       countMembers: () => this.#fleet.countMembers(),
       countSchedulerRoles: () => this.#fleet.isScheduler ? 1 : 0,
+      countHeldRemovals: () => this.#state.directory.heldRemovals,
     });
   }
 
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -1,7 +1,11 @@
 /** Sends one attempt to an endpoint and processes its answer. */
 
 import { ByteCollector, type Clock, Deferred } from "@rattanvane/base";
-import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
+import {
+  type AnswerFraming,
+  type AttemptOutcome,
+  OutcomeKind,
+} from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type {
   AnswerHeaders,
@@ -11,7 +15,7 @@
 import { Repeatability } from "../model/route.ts";
 import type { GrantedEndpoint } from "../admission/admission.ts";
 import type { AnswerMemory, HeldAnswer } from "./answer_memory.ts";
-import { type CallerAnswer, isFramed } from "./caller_answer.ts";
+import { type CallerAnswer, isFramed, readFraming } from "./caller_answer.ts";
 import {
   type AnswerControl,
   AnswerReceiver,
@@ -45,6 +49,8 @@
   splitter: EventSplitter;
   /** Called once, when the first byte or event of the answer arrives. */
   onAnswering: () => void;
+  /** Called when the head of an answer arrives. */
+  onFraming: (framing: AnswerFraming) => void;
   /** Called when the response announces the shutdown of the endpoint. */
   onLeaving: () => void;
   /** Called with the requests a second that the endpoint states; or none. */
@@ -62,6 +68,7 @@
   #request: SentRequest | undefined;
   #status = 0;
   #headers: AnswerHeaders = {};
+  #framing: AnswerFraming | undefined;
   #control: AnswerControl | undefined;
   /** The endpoint reports that it did not run the request. */
   #isNotRun = false;
@@ -97,11 +104,11 @@
 
   /** Sends the attempt and resolves with its outcome; an abort cancels it. */
   async run(signal: AbortSignal): Promise<AttemptOutcome> {
-    const stop = () => this.#stop();
+    const stop = () => this.#stop(signal);
     signal.addEventListener("abort", stop, { once: true });
     try {
       if (signal.aborted) {
-        this.#stop();
+        this.#stop(signal);
       } else {
         this.#send();
       }
@@ -120,6 +127,8 @@
     this.#status = status;
     this.#headers = headers;
     this.#control = control;
+    this.#framing = readFraming(headers);
+    this.#options.onFraming(this.#framing);
     const marks = dialect.readAnswerMetadata(headers);
     const isRefusal = marks.isNotRun || status === STATUS_WRONG_INSTANCE;
     if (!isAnswerTo(call, marks.request, isRefusal)) {
@@ -321,12 +330,10 @@
     this.#finish(this.#pickBrokenKind(), reason);
   }
 
-  #stop(): void {
+  #stop({ reason }: AbortSignal): void {
     this.#request?.cancel();
-    this.#finish(
-      OutcomeKind.Stopped,
-      "The caller disconnected or the deadline passed",
-    );
+    const text = reason instanceof Error ? reason.message : "stopped";
+    this.#finish(OutcomeKind.Stopped, text);
   }
 
   #recordFirstByte(): void {
@@ -352,6 +359,7 @@
       kind,
       reason,
       isLeaving: this.#isLeaving,
+      framing: this.#framing,
       longestPauseMilliseconds: this.#longestPauseMilliseconds,
       pauseAt: this.#pauseAt,
       durationMilliseconds: this.#options.clock.now() - this.#sentAt,
--- a/packages/forwarding/src/ingress/attempt_run_test.ts
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -69,6 +69,7 @@
     memory,
     splitter: new EventSplitter(),
     onAnswering: () => {},
+    onFraming: () => {},
     onLeaving: () => {},
     onLimit: () => {},
     onPaused: () => {},
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -1,7 +1,10 @@
 /** Writes the answer to one caller, at most once. */
 
 import type { ServerResponse } from "node:http";
-import type { CompleteAnswer } from "../model/attempt_outcome.ts";
+import {
+  AnswerFraming,
+  type CompleteAnswer,
+} from "../model/attempt_outcome.ts";
 import type { AnswerHeaders } from "../model/dialect.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -150,6 +153,16 @@
   }
 }
 
+/** Reads from headers what marks the end of a body. */
+export function readFraming(headers: AnswerHeaders): AnswerFraming {
+  if (headers["transfer-encoding"] !== undefined) {
+    return AnswerFraming.Chunks;
+  }
+  return headers["content-length"] === undefined
+    ? AnswerFraming.Connection
+    : AnswerFraming.Length;
+}
+
 /** Whether headers delimit a body, so that its truncation is detectable. */
 export function isFramed(headers: AnswerHeaders): boolean {
   return headers["content-length"] !== undefined ||
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -6,7 +6,11 @@
   type AttemptGrant,
   UNUSED_REPORT,
 } from "../admission/admission.ts";
-import { type AttemptOutcome, OutcomeKind } from "../model/attempt_outcome.ts";
+import {
+  AnswerFraming,
+  type AttemptOutcome,
+  OutcomeKind,
+} from "../model/attempt_outcome.ts";
 import type { ForwardedCall } from "../model/call.ts";
 import type { Dialect } from "../model/dialect.ts";
 import { Repeatability } from "../model/route.ts";
@@ -163,6 +167,7 @@
       answer,
       splitter: this.#progress.splitter,
       onAnswering: () => grant.recordAnswerStart(),
+      onFraming: (framing) => this.#logUnframed(grant, framing),
       onLeaving: () =>
         directory.recordDeparture({ endpoint, startedAtUnixMilliseconds }),
       onLimit: (requestsPerSecond) =>
@@ -240,6 +245,20 @@
     }
   }
 
+  /** A VM that is killed logs nothing of the answers that it cuts. */
+  #logUnframed({ endpoint }: AttemptGrant, framing: AnswerFraming): void {
+    const { call } = this.#options;
+    if (framing === AnswerFraming.Connection) {
+      this.#environment.logger.info("an answer without a length began", {
+        request: call.identity.request,
+        service: call.service,
+        organisation: call.organisation,
+        endpoint: endpoint.id,
+        zone: endpoint.zone,
+      });
+    }
+  }
+
   #logAttempt(grant: AttemptGrant, outcome: AttemptOutcome): void {
     const { call } = this.#options;
     const { endpoint, forecast } = grant;
@@ -257,6 +276,7 @@
       zone: endpoint.zone,
       phase,
       isLeaving: outcome.isLeaving,
+      framing: outcome.framing,
       outcome: outcome.kind,
       reason: outcome.reason,
       waitedMilliseconds: Math.round(forecast.waitedMilliseconds),
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -51,6 +51,7 @@
 const STATUS_INTERNAL = 500;
 /** A common reason, since creating one for each request takes time. */
 const CLOSED_REASON = new Error("The response was closed");
+const STOPPED_REASON = new Error("The grace period of this VM has ended");
 
 const REJECTION_ANSWERS: Record<RejectionKind, LocalAnswer> = {
   [RejectionKind.NoConfiguration]: {
@@ -119,6 +120,8 @@
   readonly #load: IngressLoad;
   readonly #relay: ConnectionRelay;
   readonly #acceptQueue: AcceptQueueMonitor;
+  /** The lifetimes of the requests that are not answered yet. */
+  readonly #lifetimes = new Set<AbortController>();
   #active = 0;
   /** When a request was last rejected because too many wait to be begun. */
   #rejectedAt = -Infinity;
@@ -205,11 +208,18 @@
     const { host, port } = this.#options;
     this.#server.listen({ port, host, backlog: LISTEN_BACKLOG });
     await once(this.#server, "listening", { signal });
-    signal.addEventListener("abort", () => this.#server.closeAllConnections(), {
+    signal.addEventListener("abort", () => this.#abortRequests(), {
       once: true,
     });
   }
 
+  #abortRequests(): void {
+    for (const lifetime of this.#lifetimes) {
+      lifetime.abort(STOPPED_REASON);
+    }
+    this.#server.closeAllConnections();
+  }
+
   /** Applies new header and idle time-outs to the callers' connections. */
   updateLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headersTimeoutMilliseconds;
@@ -240,7 +250,11 @@
       return;
     }
     const lifetime = new AbortController();
-    response.once("close", () => lifetime.abort(CLOSED_REASON));
+    this.#lifetimes.add(lifetime);
+    response.once("close", () => {
+      this.#lifetimes.delete(lifetime);
+      lifetime.abort(CLOSED_REASON);
+    });
     try {
       await this.#serve(request, { answer, receivedAt }, lifetime);
     } catch (thrown) {
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -2,7 +2,10 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ForwardedCall } from "../model/call.ts";
-import type { AttemptOutcome } from "../model/attempt_outcome.ts";
+import {
+  AnswerFraming,
+  type AttemptOutcome,
+} from "../model/attempt_outcome.ts";
 import type { EndpointPhase } from "../model/endpoint_record.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -46,6 +49,7 @@
   countPeers: () => number;
   countMembers: () => number;
   countSchedulerRoles: () => number;
+  countHeldRemovals: () => number;
 }
 
 /** Records the metrics of one VM in its own registry. */
@@ -53,6 +57,7 @@
   readonly registry = new Registry();
   readonly #requests: Counter<"service" | "result">;
   readonly #attempts: Counter<"service" | "outcome">;
+  readonly #unframedAnswers: Counter<"service" | "outcome">;
   readonly #leavingResponses: Counter<"service" | "registered">;
   readonly #rejections: Counter<"reason">;
   readonly #connections: Counter<"event">;
@@ -74,6 +79,12 @@
       labelNames: ["service", "outcome"],
       registers,
     });
+    this.#unframedAnswers = new Counter({
+      name: "rattanvane_forwarding_unframed_answers_total",
+      help: "Attempts whose answer ends with its connection, by outcome.",
+      labelNames: ["service", "outcome"],
+      registers,
+    });
     this.#leavingResponses = new Counter({
       name: "rattanvane_forwarding_leaving_responses_total",
       help:
@@ -119,6 +130,9 @@
   recordAttempt(call: ForwardedCall, outcome: AttemptOutcome): void {
     const { service } = call;
     this.#attempts.inc({ service, outcome: outcome.kind });
+    if (outcome.framing === AnswerFraming.Connection) {
+      this.#unframedAnswers.inc({ service, outcome: outcome.kind });
+    }
     if (outcome.firstMilliseconds !== undefined) {
       const seconds = outcome.firstMilliseconds / MILLISECONDS_PER_SECOND;
       this.#firstBytes.observe({ service }, seconds);
@@ -194,6 +208,11 @@
     this.#addGauge("scheduler_role", "1 if this VM is a scheduler, else 0.", {
       read: gauges.countSchedulerRoles,
     });
+    this.#addGauge(
+      "held_removals",
+      "Endpoints whose removal is held back after an outage of the store.",
+      { read: gauges.countHeldRemovals },
+    );
   }
 
   #addGauge(
--- a/packages/forwarding/src/metrics/operations_page_test.ts
+++ b/packages/forwarding/src/metrics/operations_page_test.ts
@@ -24,6 +24,7 @@
       countPeers: () => 0,
       countMembers: () => 0,
       countSchedulerRoles: () => 0,
+      countHeldRemovals: () => 0,
     });
     const registered = await metrics.registry.getMetricsAsJSON();
     const listed = listRows(/^\| `rattanvane_/);
--- a/packages/forwarding/src/model/attempt_outcome.ts
+++ b/packages/forwarding/src/model/attempt_outcome.ts
@@ -2,6 +2,16 @@
 
 import type { AnswerHeaders } from "./dialect.ts";
 
+/** What marks the end of a response's body. */
+export enum AnswerFraming {
+  /** Its length, or that it has no body. */
+  Length = "length",
+  /** The last chunk. */
+  Chunks = "chunks",
+  /** The end of its connection. */
+  Connection = "connection",
+}
+
 /** A complete response of an endpoint, buffered in memory. */
 export interface CompleteAnswer {
   status: number;
@@ -47,4 +57,6 @@
   durationMilliseconds: number;
   /** Whether the endpoint stated in its response that it shuts down. */
   isLeaving: boolean;
+  /** Undefined if no response began. */
+  framing: AnswerFraming | undefined;
 }
--- a/packages/forwarding/src/state/endpoint_directory.ts
+++ b/packages/forwarding/src/state/endpoint_directory.ts
@@ -61,7 +61,8 @@
   readonly departures = new Emitter<EndpointDeparture>();
   readonly #options: EndpointDirectoryOptions;
   readonly #entries = new Map<EndpointId, DirectoryEntry>();
-  readonly #heldRemovals = new Set<EndpointId>();
+  /** When each removal that is held back was read. */
+  readonly #heldRemovals = new Map<EndpointId, number>();
   readonly #removedAt = new Map<EndpointId, number>();
   readonly #departures = new Map<EndpointId, RecordedDeparture>();
   readonly #drainedZones = new Set<ZoneId>();
@@ -100,7 +101,7 @@
       return;
     }
     if (this.isHoldingRemovals) {
-      this.#heldRemovals.add(id);
+      this.#holdRemoval(entry);
       return;
     }
     this.#removeEntry(id, entry);
@@ -137,9 +138,9 @@
     return this.holdMilliseconds > 0;
   }
 
-  /** Whether any removal is held back. */
-  get hasHeldRemovals(): boolean {
-    return this.#heldRemovals.size > 0;
+  /** The number of removals that are held back. */
+  get heldRemovals(): number {
+    return this.#heldRemovals.size;
   }
 
   /** Removes the endpoints that did not register again in time. */
@@ -148,7 +149,7 @@
     if (this.isHoldingRemovals) {
       return;
     }
-    for (const id of this.#heldRemovals) {
+    for (const id of this.#heldRemovals.keys()) {
       const entry = this.#entries.get(id);
       if (entry !== undefined) {
         this.#removeEntry(id, entry);
@@ -255,14 +256,39 @@
     }
   }
 
+  #holdRemoval({ record }: DirectoryEntry): void {
+    if (this.#heldRemovals.has(record.id)) {
+      return;
+    }
+    this.#heldRemovals.set(record.id, this.#options.clock.now());
+    const hold = this.holdMilliseconds;
+    this.#options.logger.info("the removal of an endpoint is held back", {
+      endpoint: record.id,
+      service: record.service,
+      zone: record.zone,
+      isStoreAway: !Number.isFinite(hold),
+      holdMilliseconds: Number.isFinite(hold) ? Math.round(hold) : undefined,
+    });
+  }
+
   #removeEntry(id: EndpointId, entry: DirectoryEntry): void {
     this.#entries.delete(id);
     if (entry.record.startedAtUnixMilliseconds === 0) {
       // The next registration cannot be told from this one.
       this.#departures.delete(id);
     }
-    this.#removedAt.set(id, this.#options.clock.now());
-    this.#log("endpoint removed", entry.record);
+    const now = this.#options.clock.now();
+    this.#removedAt.set(id, now);
+    const { record } = entry;
+    const address = `${record.host}:${record.port}`;
+    this.#options.logger.info("endpoint removed", {
+      endpoint: id,
+      service: record.service,
+      zone: record.zone,
+      address,
+      phase: record.phase,
+      heldMilliseconds: Math.round(now - (this.#heldRemovals.get(id) ?? now)),
+    });
     this.changes.emit({ kind: DirectoryChangeKind.Removed, entry });
   }
 
--- a/packages/forwarding/src/state/fleet_state.ts
+++ b/packages/forwarding/src/state/fleet_state.ts
@@ -121,7 +121,7 @@
 
   async #runExpiryChecks(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const interval = this.directory.hasHeldRemovals
+      const interval = this.directory.heldRemovals > 0
         ? HELD_REMOVALS_CHECK_MILLISECONDS
         : EXPIRY_CHECK_MILLISECONDS;
       await this.#options.clock.sleep(interval, signal);
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -9,6 +9,7 @@
 } from "@rattanvane/base";
 import {
   type FeedRow,
+  type PlatformError,
   PlatformErrorKind,
   type TableFeed,
 } from "@rattanvane/platform";
@@ -80,12 +81,15 @@
   #mergeCount = 0;
   #connected = true;
   #consecutiveFailures = 0;
+  /** When the store last answered this VM, or another VM said that it had. */
+  #answeredAt: number;
   /** The next poll returns at once instead of waiting for changes. */
   #isRefreshRequested = true;
   #pollAbort: ChildAbort | undefined;
 
   constructor(options: TableReplicaOptions) {
     this.#options = options;
+    this.#answeredAt = options.clock.now();
     this.freshness = new Freshness(options.clock);
   }
 
@@ -219,7 +223,7 @@
     const sent = this.freshness.readClocks();
     const snapshot = await feed.readTable(table, signal);
     if (snapshot.isErr()) {
-      this.#recordFailure(snapshot.error.message, signal);
+      this.#recordFailure(snapshot.error, signal);
       return false;
     }
     this.#recordSuccess();
@@ -242,7 +246,7 @@
     const sent = this.freshness.readClocks();
     const result = await feed.waitForChanges(position, signal);
     if (result.isErr()) {
-      this.#handleFailure(result.error.kind, result.error.message, signal);
+      this.#handleFailure(result.error, signal);
       return false;
     }
     this.#recordSuccess();
@@ -263,13 +267,9 @@
     return true;
   }
 
-  #handleFailure(
-    kind: PlatformErrorKind,
-    reason: string,
-    signal: AbortSignal,
-  ): void {
-    if (kind !== PlatformErrorKind.HistoryGone) {
-      this.#recordFailure(reason, signal);
+  #handleFailure(error: PlatformError, signal: AbortSignal): void {
+    if (error.kind !== PlatformErrorKind.HistoryGone) {
+      this.#recordFailure(error, signal);
       return;
     }
     this.#options.logger.warn(
@@ -350,6 +350,7 @@
 
   #recordSuccess(): void {
     this.#consecutiveFailures = 0;
+    this.#answeredAt = this.#options.clock.now();
     if (this.#connected) {
       return;
     }
@@ -360,7 +361,10 @@
     this.connectivityChanges.emit({ connected: true });
   }
 
-  #recordFailure(reason: string, signal: AbortSignal): void {
+  #recordFailure(
+    { kind, message }: PlatformError,
+    signal: AbortSignal,
+  ): void {
     if (signal.aborted) {
       return;
     }
@@ -373,7 +377,11 @@
     this.#options.logger.warn("store is unavailable", {
       table: this.#options.table,
       version: this.#version,
-      reason,
+      kind,
+      reason: message,
+      sinceAnswerMilliseconds: Math.round(
+        this.#options.clock.now() - this.#answeredAt,
+      ),
     });
     this.connectivityChanges.emit({ connected: false });
   }
