Take no answer without a length as complete whose endpoint has ended

What callers saw: a stream ended as complete after a part of its events (ORDER), at VMs of two zones at the same moment.

Cause: an answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that ends with FIN, like those of a process that has said all it has to, and the router took every FIN after a whole event for the end. Class: the end of a connection read as the end of what was sent over it.

Unit: 'takes no answer without a length as complete whose endpoint ends with 1 (2) connections' fail before, pass now.

Change: 30 ms after an endpoint has closed such an answer's connection, another open connection to it, or else a new one that it accepts, shows that its process runs; the answer is complete then (an answer that ends with its connection is complete unless it was reset). Otherwise it is broken: a stream that may be resumed goes on elsewhere, another one ends visibly cut, a plain request is answered 502 or repeated where it may be. Why this works: a process that has ended has no open connection and accepts none; all its connections close within a few milliseconds.

What is not told apart: an endpoint that goes on and breaks off one answer with FIN after a whole event. By the protocol, such an answer is complete.

--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -12,6 +12,7 @@
 import { type Clock, SystemClock } from "@rattanvane/base";
 import type { AnswerHeaders } from "../model/dialect.ts";
 import { AnswerPace } from "./answer_pace.ts";
+import { EndpointConnections } from "./endpoint_connections.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /** Applies where the endpoint states no time-out of its own. */
@@ -74,16 +75,25 @@
   cancel(): void;
 }
 
-/** Whether the listeners of a connection that was reset are running. */
-interface ResetState {
-  isResetting: boolean;
+/** How a connection ends whose listeners are running. */
+enum ConnectionEnd {
+  None = "none",
+  /** The endpoint has closed it in the ordinary way. */
+  Closed = "closed",
+  Reset = "reset",
+}
+
+/** Tells the answer of a connection how it ends. */
+interface EndState {
+  current: ConnectionEnd;
 }
 
 /** Keeps one connection pool for each address. */
 export class EndpointTransport {
-  readonly #resetState: ResetState = { isResetting: false };
+  readonly #endState: EndState = { current: ConnectionEnd.None };
   readonly #pools = new Map<string, LimitedPool>();
   readonly #clock: Clock = new SystemClock();
+  readonly #connections: EndpointConnections;
   readonly #localAddress: string;
   readonly #signal: AbortSignal;
 
@@ -91,6 +101,11 @@
   constructor(localAddress: string, signal: AbortSignal) {
     this.#localAddress = localAddress;
     this.#signal = signal;
+    this.#connections = new EndpointConnections({
+      clock: this.#clock,
+      localAddress,
+      signal,
+    });
   }
 
   /**
@@ -103,8 +118,9 @@
     receiver: AnswerReceiver,
   ): SentRequest {
     const handler = new AnswerHandler(receiver, {
-      resetState: this.#resetState,
+      endState: this.#endState,
       clock: this.#clock,
+      findEndOfProcess: () => this.#connections.findEndOfProcess(address),
     });
     const isEmpty = request.body.length === 0;
     const pool = this.#findOrCreatePool(address);
@@ -133,8 +149,8 @@
 
   /**
    * undici reports an answer without a length as complete when its connection
-   * is reset. The connector therefore sets the reset state while the listeners
-   * of a connection that was reset run.
+   * ends, however it does. The connector therefore says how while the listeners
+   * of the connection run.
    */
   #createConnector(): buildConnector.connector {
     const connect = createConnector({
@@ -148,20 +164,21 @@
           callback(error, null);
           return;
         }
-        socket.on("error", () => this.#handleReset());
+        this.#connections.add(`${target.hostname}:${target.port}`, socket);
+        socket.on("error", () => this.#recordEnd(ConnectionEnd.Reset));
         socket.on("end", () => {
-          if (hasBeenReset(socket)) {
-            this.#handleReset();
-          }
+          this.#recordEnd(
+            hasBeenReset(socket) ? ConnectionEnd.Reset : ConnectionEnd.Closed,
+          );
         });
         callback(null, socket);
       });
     };
   }
 
-  #handleReset(): void {
-    this.#resetState.isResetting = true;
-    queueMicrotask(() => this.#resetState.isResetting = false);
+  #recordEnd(end: ConnectionEnd): void {
+    this.#endState.current = end;
+    queueMicrotask(() => this.#endState.current = ConnectionEnd.None);
   }
 
   /** Returns undefined for an address to which nothing can be sent. */
@@ -197,14 +214,17 @@
 }
 
 interface AnswerHandlerOptions {
-  resetState: ResetState;
+  endState: EndState;
   clock: Clock;
+  /** Why the endpoint's process seems to have ended; undefined if it runs. */
+  findEndOfProcess: () => Promise<string | undefined>;
 }
 
 /** Forwards undici's events until the request ends or is cancelled. */
 class AnswerHandler implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: AnswerReceiver;
-  readonly #resetState: ResetState;
+  readonly #endState: EndState;
+  readonly #findEndOfProcess: () => Promise<string | undefined>;
   readonly #pace: AnswerPace;
   #controller: Dispatcher.DispatchController | undefined;
   /** Whether the receiver, and the pace of the answer, have paused it. */
@@ -214,10 +234,11 @@
 
   constructor(
     receiver: AnswerReceiver,
-    { resetState, clock }: AnswerHandlerOptions,
+    { endState, clock, findEndOfProcess }: AnswerHandlerOptions,
   ) {
     this.#receiver = receiver;
-    this.#resetState = resetState;
+    this.#endState = endState;
+    this.#findEndOfProcess = findEndOfProcess;
     this.#pace = new AnswerPace(clock);
   }
 
@@ -272,15 +293,42 @@
     if (this.#isFinished) {
       return;
     }
-    this.#finish();
-    if (this.#resetState.isResetting) {
-      const reason = "The connection was reset before the answer was complete";
-      this.#receiver.fail({ kind: TransportFailureKind.Broken, reason });
+    switch (this.#endState.current) {
+      case ConnectionEnd.None:
+        this.#finish();
+        this.#receiver.end();
+        return;
+      case ConnectionEnd.Closed:
+        void this.#judgeClosedAnswer();
+        return;
+      case ConnectionEnd.Reset:
+        this.#failAnswer(
+          "The connection was reset before the answer was complete",
+        );
+    }
+  }
+
+  /** A process that ends closes its connections like one that has said all. */
+  async #judgeClosedAnswer(): Promise<void> {
+    const reason = await this.#findEndOfProcess();
+    if (this.#isFinished) {
+      return;
+    }
+    if (reason !== undefined) {
+      this.#failAnswer(
+        `The endpoint ended with an answer that has no length: ${reason}`,
+      );
       return;
     }
+    this.#finish();
     this.#receiver.end();
   }
 
+  #failAnswer(reason: string): void {
+    this.#finish();
+    this.#receiver.fail({ kind: TransportFailureKind.Broken, reason });
+  }
+
   onResponseError(
     _controller: Dispatcher.DispatchController,
     error: Error,
--- a/packages/forwarding/src/ingress/endpoint_transport_test.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -1,6 +1,11 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { createLifetime, Deferred } from "@rattanvane/base";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
@@ -80,10 +85,12 @@
   let lifetime = createLifetime();
   let transport = new EndpointTransport(LOOPBACK_HOST, lifetime.signal);
   let sockets: Socket[] = [];
+  let servers: Server[] = [];
   beforeEach(() => {
     lifetime = createLifetime();
     transport = new EndpointTransport(LOOPBACK_HOST, lifetime.signal);
     sockets = [];
+    servers = [];
   });
   afterEach(() => {
     lifetime.abort();
@@ -99,6 +106,7 @@
       socket.on("error", () => socket.destroy());
       socket.on("data", () => answer(socket));
     });
+    servers.push(server);
     server.listen(0, LOOPBACK_HOST);
     await once(server, "listening");
     lifetime.signal.addEventListener("abort", () => server.close());
@@ -137,6 +145,47 @@
     });
   }
 
+  const UNFRAMED_ANSWER = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\na";
+
+  it("takes an answer without a length as complete while its endpoint accepts connections", async () => {
+    const address = await startEndpoint((socket) =>
+      socket.end(UNFRAMED_ANSWER)
+    );
+    const receiver = send(address);
+    expect(await waitForOutcome(receiver)).to.equal(undefined);
+    expect(receiver.bytes).to.equal(1);
+  });
+
+  it("needs no new connection to an endpoint to which another one is open", async () => {
+    const address = await startEndpoint((socket) => {
+      if (socket === sockets[1]) {
+        socket.end(UNFRAMED_ANSWER);
+      }
+    });
+    const receivers = [send(address), send(address)];
+    const outcomes = await Promise.all(receivers.map(waitForOutcome));
+    expect(outcomes).to.have.members([undefined, "open"]);
+    expect(sockets).to.have.lengthOf(2);
+  });
+
+  // A process that ends closes its connections like one that has said all.
+  for (const ends of [1, 2]) {
+    it(`takes no answer without a length as complete whose endpoint ends with ${ends} connections`, async () => {
+      const address = await startEndpoint((socket) => {
+        socket.write(UNFRAMED_ANSWER);
+        if (sockets.length === ends) {
+          servers.forEach((server) => server.close());
+          setTimeout(() => sockets.forEach((each) => each.destroy()), 20);
+        }
+      });
+      const receivers = Array.from({ length: ends }, () => send(address));
+      for (const receiver of receivers) {
+        const outcome = await waitForOutcome(receiver);
+        expect(outcome).to.include({ kind: TransportFailureKind.Broken });
+      }
+    });
+  }
+
   it("receives a long answer in small chunks, and answers after each other", async () => {
     const chunk = `a\r\n${"x".repeat(10)}\r\n`;
     const address = await startEndpoint((socket) =>
