Send streams to callers in chunks, whatever framing their endpoints use

What callers saw: a stream ended as complete after a part of its events (ORDER), when the VM that passed it on was killed or reached the end of its grace period.

Cause: the router passed a stream without a length on without one, so that only the end of the caller's connection ended it. The kernel ends the connections of a killed process with FIN, and so does closeAllConnections: the caller saw the ordinary end of such a stream.

Why this works: nothing but the router can write the last chunk. A caller that takes no chunks (HTTP/1.0) still gets the end of its connection; at the end of a stop that one is reset now, but a VM that is killed can do nothing there: open.

--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -15,7 +15,7 @@
 import { Repeatability } from "../model/route.ts";
 import type { GrantedEndpoint } from "../admission/admission.ts";
 import type { AnswerMemory, HeldAnswer } from "./answer_memory.ts";
-import { type CallerAnswer, isFramed, readFraming } from "./caller_answer.ts";
+import { type CallerAnswer, readFraming } from "./caller_answer.ts";
 import {
   type AnswerControl,
   AnswerReceiver,
@@ -75,8 +75,6 @@
   /** The endpoint reports that it is about to shut down. */
   #isLeaving = false;
   #isStream = false;
-  /** The caller has been sent the headers of this attempt's answer. */
-  #hasBegunStream = false;
   #firstMilliseconds: number | undefined;
   #lastEventAt = 0;
   #longestPauseMilliseconds = 0;
@@ -254,7 +252,6 @@
     this.#updateLongestPause();
     if (!answer.hasBegun) {
       answer.beginStream(this.#status, this.#headers);
-      this.#hasBegunStream = true;
     }
     if (!answer.write(events)) {
       this.#control?.pause();
@@ -290,16 +287,6 @@
       );
       return;
     }
-    const hasReliableEnd = this.#hasBegunStream || isFramed(this.#headers);
-    if (!hasReliableEnd) {
-      // The caller's answer has the framing of an earlier attempt. Without
-      // framing of its own, this stream may have been truncated.
-      this.#finish(
-        OutcomeKind.StreamBroken,
-        "The stream has no framing that marks its end",
-      );
-      return;
-    }
     answer.endStream();
     this.#finish(OutcomeKind.Answered, "");
   }
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -34,7 +34,6 @@
   readonly #response: ServerResponse;
   readonly #shouldClose: (isRefused: boolean) => boolean;
   #streamType: string | string[] | undefined;
-  #hasStreamFraming = true;
 
   /**
    * `shouldClose` is asked with each answer whether its connection is to be
@@ -66,6 +65,10 @@
     const headers = this.#collectHeaders(answer.headers);
     if (isFramed(answer.headers)) {
       headers["content-length"] = String(answer.body.length);
+    } else {
+      // Chunked encoding would mark an answer as complete that may not be.
+      this.#response.useChunkedEncodingByDefault = false;
+      headers["connection"] = "close";
     }
     this.#response.writeHead(answer.status, headers);
     this.#response.end(answer.body);
@@ -92,10 +95,13 @@
     this.#response.end(body);
   }
 
-  /** Starts a stream with the status and headers of an endpoint's answer. */
+  /**
+   * Starts a stream with the status and headers of an endpoint's answer. It is
+   * sent in chunks, whatever framing the endpoint uses: without them, the end of
+   * this process would look like the end of the stream.
+   */
   beginStream(status: number, headers: AnswerHeaders): void {
     this.#streamType = headers["content-type"];
-    this.#hasStreamFraming = isFramed(headers);
     this.#response.writeHead(status, this.#collectHeaders(headers));
   }
 
@@ -121,12 +127,13 @@
   }
 
   /**
-   * Closes the connection, so that the stream cannot be taken for complete. One
-   * without framing is complete when its connection ends, so that one is reset.
+   * Closes the connection, so that the stream cannot be taken for complete. A
+   * caller that takes no chunks would take its end for that of the stream, so
+   * that its connection is reset.
    */
   abortStream(): void {
     const { socket } = this.#response;
-    if (this.#hasStreamFraming || socket === null) {
+    if (this.#response.chunkedEncoding || socket === null) {
       this.#response.destroy();
     } else {
       socket.resetAndDestroy();
@@ -140,13 +147,7 @@
         collected[name] = value;
       }
     }
-    const hasFraming = isFramed(headers);
-    if (!hasFraming) {
-      // A truncated answer cannot be told from a complete one here. Chunked
-      // encoding would mark either as complete.
-      this.#response.useChunkedEncodingByDefault = false;
-    }
-    if (!hasFraming || this.#shouldClose(false)) {
+    if (this.#shouldClose(false)) {
       collected["connection"] = "close";
     }
     return collected;
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -120,8 +120,8 @@
   readonly #load: IngressLoad;
   readonly #relay: ConnectionRelay;
   readonly #acceptQueue: AcceptQueueMonitor;
-  /** The lifetimes of the requests that are not answered yet. */
-  readonly #lifetimes = new Set<AbortController>();
+  /** The requests that are not answered yet, by their lifetimes. */
+  readonly #open = new Map<AbortController, CallerAnswer>();
   #active = 0;
   /** When a request was last rejected because too many wait to be begun. */
   #rejectedAt = -Infinity;
@@ -214,8 +214,11 @@
   }
 
   #abortRequests(): void {
-    for (const lifetime of this.#lifetimes) {
+    for (const [lifetime, answer] of this.#open) {
       lifetime.abort(STOPPED_REASON);
+      if (answer.hasBegun && !answer.isFinished) {
+        answer.abortStream();
+      }
     }
     this.#server.closeAllConnections();
   }
@@ -250,9 +253,9 @@
       return;
     }
     const lifetime = new AbortController();
-    this.#lifetimes.add(lifetime);
+    this.#open.set(lifetime, answer);
     response.once("close", () => {
-      this.#lifetimes.delete(lifetime);
+      this.#open.delete(lifetime);
       lifetime.abort(CLOSED_REASON);
     });
     try {
