Ask again on a new connection when the store's answer is overdue

What callers saw: requests reached an endpoint later than 2,000 ms after the store had accepted that it had left (DRAIN).

Cause: a VM follows the endpoints by long polls. One that was not answered failed after 2,300 ms, later than the bound by itself, and then counted as an outage of the store, after which removals are held back for 2,100 ms: one connection that falls silent, or one lost answer, delayed a removal by 4.4 s and more while the store was up. Class: no answer on one connection read as the failure of the service behind it.

Unit: 'takes a connection to the store that falls silent for no outage' never ends before. The guard 'keeps an endpoint whose registration lapses while the store is away' passes before and after.

Change: a poll that is not answered 300 ms after its wait (1,250 ms at most) is given up and sent once more, without a wait, on a connection of its own; other open connections may be silent too. Only when that one fails, too, is it an outage. Meanwhile the VM takes newer copies of other VMs. Why this works: the VM learns of a removal 1.6 s after its last answer at the latest, and applies it at once. The same holds for configurations and drains of zones, which are followed in the same way.

A store that takes over 300 ms for an answer now costs a second call for each poll; the second one has 2,300 ms as before.

--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -8,16 +8,21 @@
   type RandomSource,
 } from "@rattanvane/base";
 import {
+  type FeedPosition,
   type FeedRow,
   type PlatformError,
   PlatformErrorKind,
+  type TableChanges,
   type TableFeed,
 } from "@rattanvane/platform";
+import type { Result } from "neverthrow";
 import { type ClockReading, Freshness } from "./freshness.ts";
 import { RowDigest } from "./row_digest.ts";
 
 const INITIAL_BACKOFF_MILLISECONDS = 40;
 const MAX_BACKOFF_MILLISECONDS = 400;
+/** A poll that is not answered this long after its wait is sent once more. */
+const OVERDUE_MILLISECONDS = 300;
 /** VMs that follow another one are many, so they retry less often. */
 const MAX_FOLLOWER_BACKOFF_MILLISECONDS = 1_500;
 const WAIT_JITTER_FRACTION = 0.4;
@@ -25,6 +30,14 @@
 const MIN_CHECK_MILLISECONDS = 20;
 const MAX_CHECK_MILLISECONDS = 1_000;
 
+/** What a poll's answer is compared with. */
+interface PollState {
+  /** The number of merges of other VMs' rows before the poll. */
+  mergeCount: number;
+  /** When the poll was sent. */
+  sent: ClockReading;
+}
+
 /** Dependencies and settings of a {@link TableReplica}. */
 export interface TableReplicaOptions {
   table: string;
@@ -83,6 +96,8 @@
   #consecutiveFailures = 0;
   /** When the store last answered this VM, or another VM said that it had. */
   #answeredAt: number;
+  /** A poll was not answered in time, and the next one is being sent. */
+  #isOverdue = false;
   /** The next poll returns at once instead of waiting for changes. */
   #isRefreshRequested = true;
   #pollAbort: ChildAbort | undefined;
@@ -109,7 +124,8 @@
 
   /** Whether another VM's copy is needed when that is newer. */
   get reliesOnCopies(): boolean {
-    return !this.#connected || this.#version < 0 || !this.#options.isPolling();
+    return !this.#connected || this.#isOverdue || this.#version < 0 ||
+      !this.#options.isPolling();
   }
 
   /** A digest of the rows' keys and versions; equal for equal rows. */
@@ -235,16 +251,90 @@
     return true;
   }
 
+  /**
+   * Polls once more on a new connection when the answer is overdue: a connection
+   * that falls silent is no outage of the store.
+   */
   async #readChanges(signal: AbortSignal): Promise<boolean> {
-    const { feed, table, isPolling } = this.#options;
-    const waitMilliseconds = this.#isRefreshRequested || !isPolling()
+    const { logger, table } = this.#options;
+    const waitMilliseconds = this.#isRefreshRequested ||
+        !this.#options.isPolling()
       ? 0
       : this.#computeWait();
     this.#isRefreshRequested = false;
-    const position = { table, version: this.#version, waitMilliseconds };
-    const mergeCount = this.#mergeCount;
-    const sent = this.freshness.readClocks();
-    const result = await feed.waitForChanges(position, signal);
+    const isSuccess = await this.#runPoll(waitMilliseconds, signal);
+    if (isSuccess !== undefined) {
+      return isSuccess;
+    }
+    logger.info("store did not answer in time; asking on a new connection", {
+      table,
+      version: this.#version,
+    });
+    this.#isOverdue = true;
+    try {
+      return await this.#runPollOnNewConnection(signal);
+    } finally {
+      this.#isOverdue = false;
+    }
+  }
+
+  /** Returns undefined when the answer is overdue. */
+  async #runPoll(
+    waitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<boolean | undefined> {
+    const poll = new ChildAbort(signal);
+    const position = this.#buildPosition(waitMilliseconds);
+    const state = this.#readPollState();
+    const answer = this.#options.feed.waitForChanges(position, poll.signal);
+    const isOverdue = await Promise.race([
+      answer.then(() => false),
+      this.#waitUntilOverdue(waitMilliseconds, poll.signal),
+    ]);
+    poll.abort();
+    return isOverdue && !signal.aborted
+      ? undefined
+      : this.#applyAnswer(await answer, state, signal);
+  }
+
+  async #runPollOnNewConnection(signal: AbortSignal): Promise<boolean> {
+    const position = { ...this.#buildPosition(0), usesNewConnection: true };
+    const state = this.#readPollState();
+    const answer = await this.#options.feed.waitForChanges(position, signal);
+    return this.#applyAnswer(answer, state, signal);
+  }
+
+  #buildPosition(waitMilliseconds: number): FeedPosition {
+    const { table } = this.#options;
+    const version = this.#version;
+    return { table, version, waitMilliseconds };
+  }
+
+  #readPollState(): PollState {
+    return {
+      mergeCount: this.#mergeCount,
+      sent: this.freshness.readClocks(),
+    };
+  }
+
+  async #waitUntilOverdue(
+    waitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    await this.#options.clock.sleep(
+      waitMilliseconds + OVERDUE_MILLISECONDS,
+      signal,
+    );
+    // After this VM was busy, timers run before an answer that has arrived.
+    await new Promise((resolve) => setImmediate(resolve));
+    return true;
+  }
+
+  #applyAnswer(
+    result: Result<TableChanges, PlatformError>,
+    { mergeCount, sent }: PollState,
+    signal: AbortSignal,
+  ): boolean {
     if (result.isErr()) {
       this.#handleFailure(result.error, signal);
       return false;
--- a/packages/forwarding/src/state/table_replica_test.ts
+++ b/packages/forwarding/src/state/table_replica_test.ts
@@ -88,6 +88,26 @@
     await waitUntil(() => replica.freshness.computeAge() < 60);
   });
 
+  // Removals are held back after an outage, and so came later than the bound.
+  it("takes a connection to the store that falls silent for no outage", async () => {
+    const feed = new MemoryFeed();
+    feed.put(TABLE, "a", "1");
+    const { replica, observed } = startReplica(feed);
+    const changes: boolean[] = [];
+    replica.connectivityChanges.listen(
+      ({ connected }) => changes.push(connected),
+      lifetime.signal,
+    );
+    await waitUntil(() => observed.size === 1);
+    feed.isSilent = true;
+    feed.remove(TABLE, "a");
+    await waitUntil(() => observed.get("a") === undefined);
+    feed.isSilent = false;
+    feed.put(TABLE, "a", "2");
+    await waitUntil(() => observed.get("a") === "2");
+    expect(changes).to.deep.equal([]);
+  });
+
   it("accepts a peer's newer copy and rejects an older one", async () => {
     const feed = new MemoryFeed();
     feed.put(TABLE, "a", "1");
--- a/packages/forwarding/src/testing/memory_feed.ts
+++ b/packages/forwarding/src/testing/memory_feed.ts
@@ -1,7 +1,9 @@
 /** In-memory table feed that simulates store failures. */
 
+import { once } from "node:events";
 import {
   type FeedChange,
+  type FeedPosition,
   type FeedRow,
   PlatformError,
   PlatformErrorKind,
@@ -20,6 +22,8 @@
 /** Keeps tables and their change history in memory, for tests. */
 export class MemoryFeed extends TableFeed {
   #isDown = false;
+  /** While set, polls are only answered on new connections. */
+  isSilent = false;
   /** Number of calls made through the feed contract. */
   calls = 0;
   readonly #clock: Clock;
@@ -87,11 +91,15 @@
   }
 
   override async waitForChanges(
-    position: { table: string; version: number; waitMilliseconds: number },
+    position: FeedPosition,
     signal: AbortSignal,
   ): Promise<Result<TableChanges, PlatformError>> {
     this.calls++;
     const endsAt = this.#clock.now() + position.waitMilliseconds;
+    const isOnOpenConnection = position.usesNewConnection !== true;
+    if (this.isSilent && isOnOpenConnection && !signal.aborted) {
+      await once(signal, "abort");
+    }
     for (;;) {
       if (this.#isDown) {
         return err(createUnavailableError());
--- a/packages/forwarding/src/testing/simulated_fleet.ts
+++ b/packages/forwarding/src/testing/simulated_fleet.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
 import { FreezableClock, MemoryNetwork } from "@rattanvane/membership/testing";
 import {
+  type FeedPosition,
   type PlatformError,
   type TableChanges,
   TableFeed,
@@ -95,7 +96,7 @@
   }
 
   override async waitForChanges(
-    position: { table: string; version: number; waitMilliseconds: number },
+    position: FeedPosition,
     signal: AbortSignal,
   ): Promise<Result<TableChanges, PlatformError>> {
     const changes = await this.#pickFeed().waitForChanges(position, signal);
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -46,6 +46,8 @@
   /** The longest time of a call with all its retries. */
   deadlineMilliseconds?: number;
   connectTimeoutMilliseconds?: number;
+  /** Whether connections are kept for later calls, which is the default. */
+  keepsConnections?: boolean;
   /** The own IP number to connect from; the system chooses without it. */
   localAddress?: string;
   bodyLimitBytes?: number;
@@ -65,6 +67,7 @@
       deadlineMilliseconds: DEFAULT_DEADLINE_MILLISECONDS,
       connectTimeoutMilliseconds: DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
       bodyLimitBytes: DEFAULT_BODY_LIMIT_BYTES,
+      keepsConnections: true,
       localAddress: "",
       backoff: DEFAULT_BACKOFF,
       countFailure: () => {},
@@ -169,6 +172,7 @@
         method: call.method,
         path: this.#pathPrefix + call.path,
         body: call.body ?? null,
+        reset: !this.#options.keepsConnections,
         signal: timer.signal,
       });
       const body = await readBody(response.body, this.#options.bodyLimitBytes);
--- a/packages/platform/src/table_feed.ts
+++ b/packages/platform/src/table_feed.ts
@@ -32,6 +32,16 @@
   version: number;
 }
 
+/** What to wait for, and how. */
+export interface FeedPosition {
+  table: string;
+  /** Changes after this version are returned. */
+  version: number;
+  waitMilliseconds: number;
+  /** Uses no connection that was open before, since these may be silent. */
+  usesNewConnection?: boolean;
+}
+
 /** Reads tables and waits for their changes. */
 export abstract class TableFeed {
   /** Reads a complete table. */
@@ -45,7 +55,7 @@
    * HistoryGone when the store no longer retains the changes after that version.
    */
   abstract waitForChanges(
-    position: { table: string; version: number; waitMilliseconds: number },
+    position: FeedPosition,
     signal: AbortSignal,
   ): Promise<Result<TableChanges, PlatformError>>;
 
