Send nothing to an endpoint that closes before the request is written

Cause: a granted attempt may wait up to 400 ms for a new connection, a fifth of the bound, and nothing looked again at the endpoint when the request was written. With the 1.6 s after which a VM may learn of a removal, both add up to the bound.

Evidence: 'sends nothing to an endpoint that closes while the connection is opened': 1 request arrives without the check, none with it.

Change: the endpoint's state is read again when the request is about to be written. A request that is not sent then counts as not sent: it is granted another endpoint without a draw on the retries. What is still beyond the VM: an endpoint that reads late what its kernel has accepted in time.

--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -47,6 +47,8 @@
   memory: AnswerMemory;
   /** Shared by all attempts of a request, so that a stream can be resumed. */
   splitter: EventSplitter;
+  /** Whether the request may still be sent when its connection is open. */
+  mayStart: () => boolean;
   /** Called once, when the first byte or event of the answer arrives. */
   onAnswering: () => void;
   /** Called when the head of an answer arrives. */
@@ -189,7 +191,7 @@
   }
 
   #send(): void {
-    const { call, endpoint, dialect, transport, clock, splitter } =
+    const { call, endpoint, dialect, transport, clock, splitter, mayStart } =
       this.#options;
     const headers = dialect.buildHeaders(call.rawHeaders, {
       endpoint: endpoint.id,
@@ -204,7 +206,7 @@
     const address = `${endpoint.host}:${endpoint.port}`;
     this.#request = transport.send(
       address,
-      { method, target, headers, body },
+      { method, target, headers, body, mayStart },
       this,
     );
   }
--- a/packages/forwarding/src/ingress/attempt_run_test.ts
+++ b/packages/forwarding/src/ingress/attempt_run_test.ts
@@ -68,6 +68,7 @@
     answer: new CallerAnswer(response, () => false),
     memory,
     splitter: new EventSplitter(),
+    mayStart: () => true,
     onAnswering: () => {},
     onFraming: () => {},
     onLeaving: () => {},
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -28,6 +28,8 @@
   /** Alternating names and values. */
   headers: string[];
   body: Uint8Array;
+  /** Asked when the request is about to be written; false: it is not sent. */
+  mayStart?: () => boolean;
 }
 
 /** How a request failed. */
@@ -120,6 +122,7 @@
     const handler = new AnswerHandler(receiver, {
       endState: this.#endState,
       clock: this.#clock,
+      mayStart: request.mayStart ?? (() => true),
       findEndOfProcess: () => this.#connections.findEndOfProcess(address),
     });
     const isEmpty = request.body.length === 0;
@@ -216,6 +219,7 @@
 interface AnswerHandlerOptions {
   endState: EndState;
   clock: Clock;
+  mayStart: () => boolean;
   /** Why the endpoint's process seems to have ended; undefined if it runs. */
   findEndOfProcess: () => Promise<string | undefined>;
 }
@@ -224,6 +228,7 @@
 class AnswerHandler implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: AnswerReceiver;
   readonly #endState: EndState;
+  readonly #mayStart: () => boolean;
   readonly #findEndOfProcess: () => Promise<string | undefined>;
   readonly #pace: AnswerPace;
   #controller: Dispatcher.DispatchController | undefined;
@@ -234,10 +239,11 @@
 
   constructor(
     receiver: AnswerReceiver,
-    { endState, clock, findEndOfProcess }: AnswerHandlerOptions,
+    { endState, clock, mayStart, findEndOfProcess }: AnswerHandlerOptions,
   ) {
     this.#receiver = receiver;
     this.#endState = endState;
+    this.#mayStart = mayStart;
     this.#findEndOfProcess = findEndOfProcess;
     this.#pace = new AnswerPace(clock);
   }
@@ -251,6 +257,11 @@
     this.#controller = controller;
     if (this.#isFinished) {
       controller.abort(new Error("The request was cancelled"));
+    } else if (!this.#mayStart()) {
+      this.#finish();
+      const reason = "The endpoint closed before the request was written";
+      this.#receiver.fail({ kind: TransportFailureKind.NotSent, reason });
+      controller.abort(new Error(reason));
     }
   }
 
--- a/packages/forwarding/src/ingress/endpoint_transport_test.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -10,6 +10,7 @@
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import type { AnswerHeaders } from "../model/dialect.ts";
+import { waitUntil } from "../testing/router_harness.ts";
 import {
   type AnswerControl,
   AnswerReceiver,
@@ -113,9 +114,12 @@
     return `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
   }
 
-  function send(address: string): RecordingReceiver {
+  function send(
+    address: string,
+    mayStart = () => true,
+  ): RecordingReceiver {
     const receiver = new RecordingReceiver();
-    const request = transport.send(address, REQUEST, receiver);
+    const request = transport.send(address, { ...REQUEST, mayStart }, receiver);
     lifetime.signal.addEventListener("abort", () => request.cancel());
     return receiver;
   }
@@ -145,6 +149,20 @@
     });
   }
 
+  // Opening a connection takes up to 400 ms, a fifth of the time in which an
+  // endpoint that leaves may still get requests.
+  it("sends nothing to an endpoint that closes while the connection is opened", async () => {
+    let isClosed = false;
+    let requests = 0;
+    const address = await startEndpoint(() => requests++);
+    const receiver = send(address, () => !isClosed);
+    isClosed = true;
+    const outcome = await waitForOutcome(receiver);
+    expect(outcome).to.include({ kind: TransportFailureKind.NotSent });
+    await waitUntil(() => sockets[0]?.closed === true);
+    expect(requests).to.equal(0);
+  });
+
   const UNFRAMED_ANSWER = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\na";
 
   it("takes an answer without a length as complete while its endpoint accepts connections", async () => {
--- a/packages/forwarding/src/ingress/forward_run.ts
+++ b/packages/forwarding/src/ingress/forward_run.ts
@@ -166,6 +166,7 @@
       endpoint: grant.endpoint,
       answer,
       splitter: this.#progress.splitter,
+      mayStart: () => !directory.isClosed(endpoint),
       onAnswering: () => grant.recordAnswerStart(),
       onFraming: (framing) => this.#logUnframed(grant, framing),
       onLeaving: () =>
