Resume a paused answer before its connection ends

A router process ended by itself, and with it all requests and streams of its VM.

Cause: undici's parser asserts that it is not paused when the connection of an answer ends that has no length or says 'connection: close', and nothing catches the assertion. The router pauses an answer whose caller reads slowly, or one that is ahead of its pace. Class: an end that meets a state of the reader which it was not written for.

Change: the pools of the project resume a paused answer when its connection ends in the ordinary way, and give a reset that meets a paused answer a code for which undici does not parse on. Both work for all of its clients: endpoints of forwarding routes, the product's own endpoints, the platform's services.

--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -78,7 +78,7 @@
 }
 
 /** How a connection ends whose listeners are running. */
-enum ConnectionEnd {
+export enum ConnectionEnd {
   None = "none",
   /** The endpoint has closed it in the ordinary way. */
   Closed = "closed",
--- a/packages/forwarding/src/ingress/endpoint_transport_test.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -14,6 +14,7 @@
 import {
   type AnswerControl,
   AnswerReceiver,
+  ConnectionEnd,
   EndpointTransport,
   type TransportFailure,
   TransportFailureKind,
@@ -42,12 +43,20 @@
   "trailer fields": [`${CHUNKED_HEAD}0\r\n`, "name: value\r\n"],
 };
 
+/** The begin of answers that end with their connection. */
+const CLOSED_ANSWERS = {
+  "without a length": "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\na",
+  "in chunks": "HTTP/1.1 200 OK\r\nconnection: close\r\n" +
+    "transfer-encoding: chunked\r\n\r\n1\r\na\r\n",
+};
+
 /** Records what it is called with. */
 class RecordingReceiver extends AnswerReceiver {
   readonly outcome = new Deferred<TransportFailure | undefined>();
   control: AnswerControl | undefined;
   bytes = 0;
   pieces = 0;
+  pausesAtOnce = false;
 
   override begin(
     _status: number,
@@ -60,6 +69,9 @@
   override receive(chunk: Uint8Array): void {
     this.bytes += chunk.length;
     this.pieces++;
+    if (this.pausesAtOnce) {
+      this.control?.pause();
+    }
   }
 
   override end(): void {
@@ -114,6 +126,12 @@
     return `${LOOPBACK_HOST}:${(server.address() as AddressInfo).port}`;
   }
 
+  async function startSoundEndpoint(): Promise<string> {
+    return await startEndpoint((socket) =>
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    );
+  }
+
   function send(
     address: string,
     mayStart = () => true,
@@ -163,7 +181,7 @@
     expect(requests).to.equal(0);
   });
 
-  const UNFRAMED_ANSWER = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\na";
+  const UNFRAMED_ANSWER = CLOSED_ANSWERS["without a length"];
 
   it("takes an answer without a length as complete while its endpoint accepts connections", async () => {
     const address = await startEndpoint((socket) =>
@@ -204,6 +222,41 @@
     });
   }
 
+  // undici throws an assertion that nothing catches when the connection of a
+  // paused answer ends, which ended the process and with it all its answers.
+  for (const [kind, answer] of Object.entries(CLOSED_ANSWERS)) {
+    for (const end of [ConnectionEnd.Closed, ConnectionEnd.Reset]) {
+      it(`survives a paused answer ${kind} whose connection is ${end}`, async () => {
+        const ended = new Deferred<void>();
+        const address = await startEndpoint((socket) => {
+          socket.write(answer);
+          setTimeout(() => {
+            if (end === ConnectionEnd.Closed) {
+              socket.end();
+            } else {
+              socket.resetAndDestroy();
+            }
+            setTimeout(() => ended.resolve(), 100);
+          }, 50);
+        });
+        const receiver = send(address);
+        receiver.pausesAtOnce = true;
+        await ended.promise;
+        receiver.control?.resume();
+        const isComplete = kind === "without a length" &&
+          end === ConnectionEnd.Closed;
+        expect(await waitForOutcome(receiver)).to.satisfy(
+          (outcome: TransportFailure | undefined) =>
+            isComplete
+              ? outcome === undefined
+              : outcome?.kind === TransportFailureKind.Broken,
+        );
+        expect(await waitForOutcome(send(await startSoundEndpoint())))
+          .to.equal(undefined);
+      });
+    }
+  }
+
   it("receives a long answer in small chunks, and answers after each other", async () => {
     const chunk = `a\r\n${"x".repeat(10)}\r\n`;
     const address = await startEndpoint((socket) =>
--- a/packages/platform/src/http/framing_limit.ts
+++ b/packages/platform/src/http/framing_limit.ts
@@ -1,10 +1,13 @@
-/** Limits the bytes that HTTP answers consist of besides their bodies. */
+/** Pools whose answers are limited, and whose paused answers may end. */
 
 import type { Socket } from "node:net";
 import { type buildConnector, type Dispatcher, Pool } from "undici";
 
 /** More than the headers that are accepted, interim answers included. */
 const MAX_FRAMING_BYTES = 64 * 1024;
+const RESET_CODE = "ECONNRESET";
+/** A code for which undici does not parse on. */
+const RESET_WHILE_PAUSED_CODE = "ECONNRESET_WHILE_PAUSED";
 
 /** Thrown into a connection that delivers too much besides bodies. */
 export class FramingLimitError extends Error {
@@ -52,9 +55,11 @@
   return { pool, dispatcher: pool.compose(limiter.interceptor) };
 }
 
-/** The bytes of the current answer on one connection. */
+/** The current answer on one connection, and its bytes. */
 class ConnectionFraming {
   readonly #socket: Socket;
+  /** Undefined between two answers. */
+  controller: Dispatcher.DispatchController | undefined;
   /** Bytes that were parsed before the current answer. */
   #earlierBytes = 0;
   #bodyBytes = 0;
@@ -77,8 +82,24 @@
     this.#bodyBytes += bytes;
   }
 
+  /**
+   * undici's parser must not be paused when its connection ends: it throws an
+   * assertion then that nothing catches.
+   */
+  prepareForEnd(error?: NodeJS.ErrnoException): void {
+    if (this.controller?.paused !== true) {
+      return;
+    }
+    if (error === undefined) {
+      this.controller.resume();
+    } else if (error.code === RESET_CODE) {
+      error.code = RESET_WHILE_PAUSED_CODE;
+    }
+  }
+
   /** Starts counting for the next answer. */
   restart(): void {
+    this.controller = undefined;
     this.#earlierBytes = this.#parsedBytes;
     this.#bodyBytes = 0;
   }
@@ -107,6 +128,8 @@
       this.#current = framing;
       queueMicrotask(() => this.#current = undefined);
     });
+    socket.on("end", () => framing.prepareForEnd());
+    socket.on("error", (error) => framing.prepareForEnd(error));
   }
 
   /** Counts the bodies of a pool's answers; for `compose` of undici. */
@@ -144,6 +167,9 @@
     message?: string,
   ): void {
     this.#framing ??= this.#findCurrent();
+    if (this.#framing !== undefined) {
+      this.#framing.controller = controller;
+    }
     this.#handler.onResponseStart?.(controller, status, headers, message);
   }
 
@@ -151,6 +177,10 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (chunk.length === 0) {
+      // The parser, when it is resumed. Nothing may pause it again for this.
+      return;
+    }
     this.#framing?.addBody(chunk.length);
     this.#handler.onResponseData?.(controller, chunk);
   }
