Give a forwarded answer without a length one

What callers saw: of a plain answer without a length, a part that looked complete (MIXED), when the VM that passed it on was killed while the caller read.

Cause: as for streams, only the end of the caller's connection ended such an answer. It takes one that is longer than what the connection's buffers hold.

Change: the router holds the whole answer anyway, and states its length.

--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -9,6 +9,8 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const STATUS_UNAVAILABLE = 503;
+/** No content, not modified. */
+const BODILESS_STATUSES = new Set([204, 304]);
 
 /** Hop-by-hop headers, and the content length, which is set anew. */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -57,18 +59,20 @@
     return this.#response.writableEnded || this.#response.destroyed;
   }
 
-  /** Forwards a complete answer of an endpoint. */
+  /**
+   * Forwards a complete answer of an endpoint. It gets a length if it has none:
+   * without one, the end of this process would look like its end.
+   */
   sendWhole(answer: CompleteAnswer): void {
     if (this.hasBegun || this.isFinished) {
       return;
     }
     const headers = this.#collectHeaders(answer.headers);
-    if (isFramed(answer.headers)) {
+    if (
+      readFraming(answer.headers) !== AnswerFraming.Connection ||
+      this.#mayHaveBody(answer.status)
+    ) {
       headers["content-length"] = String(answer.body.length);
-    } else {
-      // Chunked encoding would mark an answer as complete that may not be.
-      this.#response.useChunkedEncodingByDefault = false;
-      headers["connection"] = "close";
     }
     this.#response.writeHead(answer.status, headers);
     this.#response.end(answer.body);
@@ -140,6 +144,11 @@
     }
   }
 
+  #mayHaveBody(status: number): boolean {
+    return this.#response.req.method !== "HEAD" &&
+      !BODILESS_STATUSES.has(status);
+  }
+
   #collectHeaders(headers: AnswerHeaders): Record<string, string | string[]> {
     const collected: Record<string, string | string[]> = {};
     for (const [name, value] of Object.entries(headers)) {
@@ -163,9 +172,3 @@
     ? AnswerFraming.Connection
     : AnswerFraming.Length;
 }
-
-/** Whether headers delimit a body, so that its truncation is detectable. */
-export function isFramed(headers: AnswerHeaders): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
