Take a store for away that answers on no connection for 0.7 s

Cause: after an overdue poll, the second one had 2,300 ms. A store that answers nobody for 1.6 to 3.9 s and then answers that poll was not taken for away, and registrations that had lapsed in that time would have been removed at once; before, an outage was recorded after 2,300 ms without an answer.

Change: when the second poll, on a new connection, is not answered within 700 ms, the store is away, whether an answer comes later or not: 2,250 ms after the last answer at the latest. Test: 'takes a store for away that answers on no connection, even if it does later' (never ends without the change).

--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -10,7 +10,7 @@
 import {
   type FeedPosition,
   type FeedRow,
-  type PlatformError,
+  PlatformError,
   PlatformErrorKind,
   type TableChanges,
   type TableFeed,
@@ -19,10 +19,13 @@
 import { type ClockReading, Freshness } from "./freshness.ts";
 import { RowDigest } from "./row_digest.ts";
 
+const SILENT_REASON = "The store answers on no connection";
 const INITIAL_BACKOFF_MILLISECONDS = 40;
 const MAX_BACKOFF_MILLISECONDS = 400;
 /** A poll that is not answered this long after its wait is sent once more. */
 const OVERDUE_MILLISECONDS = 300;
+/** The store is taken to be away when this one is not answered either. */
+const SECOND_POLL_MILLISECONDS = 700;
 /** VMs that follow another one are many, so they retry less often. */
 const MAX_FOLLOWER_BACKOFF_MILLISECONDS = 1_500;
 const WAIT_JITTER_FRACTION = 0.4;
@@ -289,7 +292,10 @@
     const answer = this.#options.feed.waitForChanges(position, poll.signal);
     const isOverdue = await Promise.race([
       answer.then(() => false),
-      this.#waitUntilOverdue(waitMilliseconds, poll.signal),
+      this.#waitUntilOverdue(
+        waitMilliseconds + OVERDUE_MILLISECONDS,
+        poll.signal,
+      ),
     ]);
     poll.abort();
     return isOverdue && !signal.aborted
@@ -300,8 +306,21 @@
   async #runPollOnNewConnection(signal: AbortSignal): Promise<boolean> {
     const position = { ...this.#buildPosition(0), usesNewConnection: true };
     const state = this.#readPollState();
-    const answer = await this.#options.feed.waitForChanges(position, signal);
-    return this.#applyAnswer(answer, state, signal);
+    const answer = this.#options.feed.waitForChanges(position, signal);
+    const wait = new ChildAbort(signal);
+    const isOverdue = await Promise.race([
+      answer.then(() => false),
+      this.#waitUntilOverdue(SECOND_POLL_MILLISECONDS, wait.signal),
+    ]);
+    wait.abort();
+    if (isOverdue) {
+      // Registrations may lapse meanwhile, whenever the answer comes.
+      this.#recordFailure(
+        new PlatformError(PlatformErrorKind.Unavailable, SILENT_REASON),
+        signal,
+      );
+    }
+    return this.#applyAnswer(await answer, state, signal);
   }
 
   #buildPosition(waitMilliseconds: number): FeedPosition {
@@ -321,10 +340,7 @@
     waitMilliseconds: number,
     signal: AbortSignal,
   ): Promise<boolean> {
-    await this.#options.clock.sleep(
-      waitMilliseconds + OVERDUE_MILLISECONDS,
-      signal,
-    );
+    await this.#options.clock.sleep(waitMilliseconds, signal);
     // After this VM was busy, timers run before an answer that has arrived.
     await new Promise((resolve) => setImmediate(resolve));
     return true;
--- a/packages/forwarding/src/state/table_replica_test.ts
+++ b/packages/forwarding/src/state/table_replica_test.ts
@@ -108,6 +108,26 @@
     expect(changes).to.deep.equal([]);
   });
 
+  // Registrations lapse in an outage, so that removals must be held back.
+  it("takes a store for away that answers on no connection, even if it does later", async () => {
+    const feed = new MemoryFeed();
+    feed.put(TABLE, "a", "1");
+    const { replica, observed } = startReplica(feed);
+    const changes: boolean[] = [];
+    replica.connectivityChanges.listen(
+      ({ connected }) => changes.push(connected),
+      lifetime.signal,
+    );
+    await waitUntil(() => observed.size === 1);
+    feed.isHanging = true;
+    feed.remove(TABLE, "a");
+    await waitUntil(() => !replica.connected);
+    expect(observed.get("a")).to.equal("1");
+    feed.isHanging = false;
+    await waitUntil(() => observed.get("a") === undefined);
+    expect(changes).to.deep.equal([false, true]);
+  });
+
   it("accepts a peer's newer copy and rejects an older one", async () => {
     const feed = new MemoryFeed();
     feed.put(TABLE, "a", "1");
--- a/packages/forwarding/src/testing/memory_feed.ts
+++ b/packages/forwarding/src/testing/memory_feed.ts
@@ -22,6 +22,7 @@
 /** Keeps tables and their change history in memory, for tests. */
 export class MemoryFeed extends TableFeed {
   #isDown = false;
+  #isHanging = false;
   /** While set, polls are only answered on new connections. */
   isSilent = false;
   /** Number of calls made through the feed contract. */
@@ -50,6 +51,12 @@
     this.#endWaits();
   }
 
+  /** While set, no poll is answered; it is afterwards. */
+  set isHanging(isHanging: boolean) {
+    this.#isHanging = isHanging;
+    this.#endWaits();
+  }
+
   /** Writes a row directly, even while the feed is down. */
   put(table: string, key: string, value: object | string): void {
     this.#version++;
@@ -111,13 +118,18 @@
       const changes = this.#history.filter((change) =>
         change.table === position.table && change.version > position.version
       );
-      const hasExpired = this.#clock.now() >= endsAt || signal.aborted;
-      if (changes.length > 0 || hasExpired) {
+      const hasExpired = this.#clock.now() >= endsAt;
+      const isDue = !this.#isHanging && (changes.length > 0 || hasExpired);
+      if (isDue || signal.aborted) {
         return ok({ changes, version: this.#version });
       }
       const wait = new ChildAbort(signal);
       this.#waits.add(wait);
-      await this.#clock.sleep(endsAt - this.#clock.now(), wait.signal);
+      if (this.#isHanging) {
+        await once(wait.signal, "abort");
+      } else {
+        await this.#clock.sleep(endsAt - this.#clock.now(), wait.signal);
+      }
       this.#waits.delete(wait);
       wait.abort();
     }
