--- a/packages/forwarding/src/forwarding_router_test.ts
+++ b/packages/forwarding/src/forwarding_router_test.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import { EndpointPhase } from "./model/endpoint_record.ts";
@@ -432,6 +433,26 @@
     }
   }
 
+  // Such a caller takes the end of its connection for that of the stream.
+  it("resets the stream of an HTTP/1.0 caller when the grace period ends", async () => {
+    applyRoute({ repeatability: Repeatability.Stream });
+    await harness.startEndpoint("e1", createOpenStream);
+    const router = await harness.startReadyRouter();
+    const { host, port } = router.settings.callers;
+    const caller = connect({ host, port });
+    const ends: string[] = [];
+    caller.on("end", () => ends.push("end"));
+    caller.on("error", ({ message }) => ends.push(message));
+    caller.write(
+      "POST /a/x HTTP/1.0\r\nhost: one.example\r\nx-key: key-1\r\n" +
+        "x-request: r1\r\ncontent-length: 0\r\n\r\n",
+    );
+    await once(caller, "data");
+    router.shutdown.abort();
+    await waitUntil(() => caller.closed);
+    expect(ends).to.deep.equal(["read ECONNRESET"]);
+  });
+
   it("aborts the response when a stream that must not be retried breaks", async () => {
     applyRoute({ repeatability: Repeatability.Stream });
     await harness.startEndpoint("e1", createStream(3, false));
