Log which limit refuses a request, and count requests by size

The logs of a refusal say "overShare" and a cost, but not which limit kept the request from the engines, how its organisation stood against its share, or where its size stands among others.

Change: a refusal carries the organisation's usage and, at most once in 20 ms, the number of usable engines at each limit (slots, wait, pause, missing parts, excluded) and the time that the prompt takes to read. Schedulers send both to the VMs whose requests they schedule. "a request ended" has the rank of the request's size among the latest ones of its route, and rattanvane_forwarding_sized_requests_total counts results by it.

No decision changes: the limits are checked in the same order, only their names are returned.

--- a/packages/forwarding/src/admission/admission_server.ts
+++ b/packages/forwarding/src/admission/admission_server.ts
@@ -14,7 +14,7 @@
 } from "@rattanvane/protocol";
 import { OutcomeKind } from "../model/attempt_outcome.ts";
 import type { SchedulableCall } from "../model/call.ts";
-import type { Refusal } from "../scheduling/refusal.ts";
+import type { Refusal, RefusalCause } from "../scheduling/refusal.ts";
 import {
   type Admission,
   type AttemptGrant,
@@ -202,6 +202,7 @@
       reason: string;
       retryAfterMilliseconds: number;
       waitedMilliseconds: number;
+      cause?: RefusalCause;
     },
   ): void {
     this.#options.sender.send(to, {
@@ -353,6 +354,7 @@
     reason: refusal.kind,
     retryAfterMilliseconds: refusal.retryAfterMilliseconds,
     waitedMilliseconds: refusal.waitedMilliseconds,
+    ...(refusal.cause === undefined ? {} : { cause: refusal.cause }),
   };
 }
 
--- a/packages/forwarding/src/admission/remote_admission.ts
+++ b/packages/forwarding/src/admission/remote_admission.ts
@@ -268,6 +268,7 @@
         kind,
         retryAfterMilliseconds: message.retryAfterMilliseconds,
         waitedMilliseconds: message.waitedMilliseconds,
+        ...(message.cause === undefined ? {} : { cause: message.cause }),
       },
     });
   }
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -245,6 +245,9 @@
     this.#shares.updateCapacity(configuration.costPerSecond);
     this.#ingress.updateLimits(configuration.limits);
     this.#services.applyConfiguration(configuration);
+    this.#metrics.retainRoutes(
+      new Set(configuration.routes.map(({ name }) => name)),
+    );
     if (this.#phase === RouterPhase.Starting) {
       this.#phase = RouterPhase.Serving;
       this.#options.logger.info("ready to serve requests", {
--- a/packages/forwarding/src/ingress/final_answer.ts
+++ b/packages/forwarding/src/ingress/final_answer.ts
@@ -114,6 +114,8 @@
       waitedMilliseconds: Math.round(refusal.waitedMilliseconds),
       retryAfterMilliseconds: Math.round(refusal.retryAfterMilliseconds),
       runs: this.#options.progress.runs,
+      usage: refusal.cause?.usage,
+      limits: refusal.cause?.limits,
     });
     if (answer.hasBegun) {
       answer.abortStream();
@@ -168,7 +170,7 @@
     const { call, configurationVersion } = this.#options;
     const { clock, logger, metrics } = this.#options;
     const milliseconds = clock.now() - call.receivedAt;
-    metrics.recordResult(call, { result, milliseconds });
+    const size = metrics.recordResult(call, { result, milliseconds });
     logger.info("a request ended", {
       request: call.identity.request,
       route: call.route.name,
@@ -178,6 +180,7 @@
       milliseconds: Math.round(milliseconds),
       configurationVersion,
       cost: computeCost(call),
+      size,
       ...fields,
     });
   }
--- a/packages/forwarding/src/metrics/forwarding_metrics.ts
+++ b/packages/forwarding/src/metrics/forwarding_metrics.ts
@@ -6,7 +6,9 @@
   AnswerFraming,
   type AttemptOutcome,
 } from "../model/attempt_outcome.ts";
+import { computeCost } from "../model/call.ts";
 import type { EndpointPhase } from "../model/endpoint_record.ts";
+import { RequestSizes, SizeRank } from "./request_sizes.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Upper bounds of the histogram buckets. */
@@ -56,6 +58,8 @@
 export class ForwardingMetrics {
   readonly registry = new Registry();
   readonly #requests: Counter<"service" | "result">;
+  readonly #sizedRequests: Counter<"service" | "size" | "result">;
+  readonly #sizes = new RequestSizes();
   readonly #attempts: Counter<"service" | "outcome">;
   readonly #unframedAnswers: Counter<"service" | "outcome">;
   readonly #leavingResponses: Counter<"service" | "registered">;
@@ -73,6 +77,13 @@
       labelNames: ["service", "result"],
       registers,
     });
+    this.#sizedRequests = new Counter({
+      name: "rattanvane_forwarding_sized_requests_total",
+      help:
+        "Requests with a prompt that ended, by their size among those of their route.",
+      labelNames: ["service", "size", "result"],
+      registers,
+    });
     this.#attempts = new Counter({
       name: "rattanvane_forwarding_attempts_total",
       help: "Attempts that ended, by service and outcome.",
@@ -150,15 +161,30 @@
     this.#leavingResponses.inc({ service, registered: phase ?? "unknown" });
   }
 
-  /** Counts a request that ended, and its duration in milliseconds. */
+  /**
+   * Counts a request that ended, and its duration in milliseconds. Returns the
+   * rank of its size; undefined for a request without a prompt.
+   */
   recordResult(
     call: ForwardedCall,
     completion: { result: FinalResult; milliseconds: number },
-  ): void {
+  ): SizeRank | undefined {
     const { service } = call;
-    this.#requests.inc({ service, result: completion.result });
+    const { result } = completion;
+    this.#requests.inc({ service, result });
     const seconds = completion.milliseconds / MILLISECONDS_PER_SECOND;
     this.#durations.observe({ service }, seconds);
+    if (call.identity.prompt === undefined) {
+      return undefined;
+    }
+    const size = this.#sizes.rank(call.route.name, computeCost(call));
+    this.#sizedRequests.inc({ service, size, result });
+    return size;
+  }
+
+  /** Forgets the sizes of requests on routes that no longer exist. */
+  retainRoutes(routes: ReadonlySet<string>): void {
+    this.#sizes.retain(routes);
   }
 
   /** Counts a request that was not admitted. */
--- a/packages/forwarding/src/scheduling/decision_cost_test.ts
+++ b/packages/forwarding/src/scheduling/decision_cost_test.ts
@@ -128,6 +128,11 @@
       isLong: false,
     };
   }
+
+  override describeLimits(): string {
+    this.#clock.spend(CHOICE_MILLISECONDS);
+    return "";
+  }
 }
 
 function createSlowScheduler(grants: number) {
--- a/packages/forwarding/src/scheduling/endpoint_chooser.ts
+++ b/packages/forwarding/src/scheduling/endpoint_chooser.ts
@@ -63,4 +63,10 @@
     request: ChoiceRequest,
     endpoints: readonly EndpointState[],
   ): Choice | NoCapacityReason;
+
+  /** Describes for logs which limits the endpoints are at for a request. */
+  abstract describeLimits(
+    request: ChoiceRequest,
+    endpoints: readonly EndpointState[],
+  ): string;
 }
--- a/packages/forwarding/src/scheduling/engine_chooser.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser.ts
@@ -24,6 +24,20 @@
 
 const TOKENS_PER_THOUSAND = 1_000;
 
+/** What keeps a request from an engine. */
+enum EngineLimit {
+  None = "none",
+  /** The engine takes no prompts of this length, or failed the request. */
+  Excluded = "excluded",
+  Slots = "slots",
+  /** The request would wait too long behind the prompts of others. */
+  Wait = "wait",
+  /** Running streams would pause for too long. */
+  Pause = "pause",
+  /** Too many shared tokens are not cached there. */
+  MissingTokens = "missingTokens",
+}
+
 /** What holds for a request at all engines. */
 interface Query {
   request: ChoiceRequest;
@@ -106,6 +120,37 @@
       : buildChoice(usable);
   }
 
+  override describeLimits(
+    request: ChoiceRequest,
+    endpoints: readonly EndpointState[],
+  ): string {
+    const query = this.#createQuery(request, endpoints);
+    const counts = new Map<EngineLimit, number>();
+    let shortestPrefill = Infinity;
+    for (const endpoint of endpoints) {
+      const evaluation = this.#evaluate(query, endpoint);
+      shortestPrefill = Math.min(
+        shortestPrefill,
+        evaluation.prefillMilliseconds,
+      );
+      const limit = this.#isExcluded(query, evaluation)
+        ? EngineLimit.Excluded
+        : this.#findLimitReached(query, evaluation) ?? EngineLimit.None;
+      counts.set(limit, (counts.get(limit) ?? 0) + 1);
+    }
+    const reached = [...counts].map(([limit, count]) => `${limit} ${count}`);
+    return `${reached.join(", ")}; prefill ${Math.round(shortestPrefill)} ms`;
+  }
+
+  /** Whether the engine accepts no such request, whatever its load. */
+  #isExcluded(
+    { request, groups: { long } }: Query,
+    { endpoint, isLong }: Evaluation,
+  ): boolean {
+    return request.excluded.has(endpoint.record.id) ||
+      isLong && long.size > 0 && !long.has(endpoint);
+  }
+
   /** Whether the affinity engine is so much better that waiting for it pays. */
   #isWorthWaiting(query: Query, usable: Evaluation): boolean {
     const { affinityEngine } = query;
@@ -141,14 +186,12 @@
     endpoints: readonly EndpointState[],
     isUsable: (evaluation: Evaluation) => boolean,
   ): Evaluation | undefined {
-    const { long } = query.groups;
     let best: Evaluation | undefined;
     for (const endpoint of endpoints) {
       const evaluation = this.#evaluate(query, endpoint);
-      const isExcluded = query.request.excluded.has(endpoint.record.id) ||
-        evaluation.isLong && long.size > 0 && !long.has(endpoint);
       const isBetter = best === undefined || evaluation.cost < best.cost;
-      if (!isExcluded && isBetter && isUsable(evaluation)) {
+      const isPossible = isBetter && !this.#isExcluded(query, evaluation);
+      if (isPossible && isUsable(evaluation)) {
         best = evaluation;
       }
     }
@@ -229,19 +272,28 @@
   }
 
   #hasCapacity(query: Query, evaluation: Evaluation): boolean {
+    return this.#findLimitReached(query, evaluation) === undefined;
+  }
+
+  /** Returns the first limit that keeps a request from an engine. */
+  #findLimitReached(
+    query: Query,
+    evaluation: Evaluation,
+  ): EngineLimit | undefined {
     const { endpoint, predictedMilliseconds } = evaluation;
     const { limits, request, route } = query;
     if (!this.#hasFreeSlot(query, endpoint)) {
-      return false;
+      return EngineLimit.Slots;
     }
     const ownPrefill = evaluation.prefillMilliseconds * endpoint.pace;
     const wait = predictedMilliseconds - ownPrefill;
     if (evaluation.isLong) {
-      return wait <= route.objectiveMilliseconds *
+      const isWithin = wait <= route.objectiveMilliseconds *
           this.#settings.longPromptWaitFraction;
+      return isWithin ? undefined : EngineLimit.Wait;
     }
     if (evaluation.missingTokens > limits.maxMissingTokens) {
-      return false;
+      return EngineLimit.MissingTokens;
     }
     const baseWait = route.objectiveMilliseconds * limits.waitFraction;
     const withinObjective = Math.max(
@@ -252,13 +304,17 @@
     const maxWait = isOverShare(request.shareUsage)
       ? baseWait
       : withinObjective;
-    return wait <= maxWait &&
-      this.#isPauseWithinLimit(
+    if (wait > maxWait) {
+      return EngineLimit.Wait;
+    }
+    return this.#isPauseWithinLimit(
         query,
         endpoint,
         evaluation.tokens,
         evaluation.pairs,
-      );
+      )
+      ? undefined
+      : EngineLimit.Pause;
   }
 
   /**
--- a/packages/forwarding/src/scheduling/engine_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_test.ts
@@ -231,6 +231,21 @@
       .to.be.at.most(pauseMilliseconds * 0.75);
   });
 
+  it("describes which limits keep a request from the engines", () => {
+    const fixture = createFixture();
+    const [full] = fixture.endpoints as [EndpointState];
+    for (let running = 0; running < CAPACITY.slots; running++) {
+      full.adoptAttempt();
+    }
+    for (const endpoint of fixture.endpoints.slice(1)) {
+      endpoint.markResponding(endpoint.addAttempt({ tokens: 0, pairs: 0 }));
+      endpoint.addAttempt({ tokens: 60_000, pairs: 0 });
+    }
+    const request = buildRequest("part-1", 500);
+    expect(fixture.chooser.describeLimits(request, fixture.endpoints))
+      .to.match(/^slots 1, (wait|pause) 5; prefill \d+ ms$/);
+  });
+
   it("avoids an engine that failed the request", () => {
     const fixture = createFixture();
     const affinityEngine = findEndpoint(fixture, buildRequest("part-1", 500));
--- a/packages/forwarding/src/scheduling/plain_chooser.ts
+++ b/packages/forwarding/src/scheduling/plain_chooser.ts
@@ -29,6 +29,14 @@
     const best = pickLeastLoaded(open, request);
     return best === undefined ? NoCapacityReason.Busy : createChoice(best);
   }
+
+  override describeLimits(
+    _request: ChoiceRequest,
+    endpoints: readonly EndpointState[],
+  ): string {
+    const full = endpoints.filter((endpoint) => !hasCapacity(endpoint)).length;
+    return `slots ${full}, usable ${endpoints.length}`;
+  }
 }
 
 function hasCapacity(endpoint: EndpointState): boolean {
--- a/packages/forwarding/src/scheduling/refusal.ts
+++ b/packages/forwarding/src/scheduling/refusal.ts
@@ -23,4 +23,17 @@
   kind: RefusalKind;
   retryAfterMilliseconds: number;
   waitedMilliseconds: number;
+  /** Why no endpoint accepted the request; undefined if it was not queued. */
+  cause?: RefusalCause;
+}
+
+/** What a scheduler knew when it refused a request. */
+export interface RefusalCause {
+  /** The organisation's use of its fair share. */
+  usage: string;
+  /**
+   * The limits that the usable endpoints were at, with their numbers; undefined
+   * shortly after another refusal was described.
+   */
+  limits?: string;
 }
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -20,7 +20,7 @@
 } from "./endpoint_chooser.ts";
 import { EndpointRateLimit } from "./endpoint_rate_limit.ts";
 import { EndpointState, type LocalAttempt } from "./endpoint_state.ts";
-import { type Refusal, RefusalKind } from "./refusal.ts";
+import { type Refusal, type RefusalCause, RefusalKind } from "./refusal.ts";
 import { RefusalPolicy } from "./refusal_policy.ts";
 import { type ShareMeter, ShareUsage } from "./share_meter.ts";
 import { SpareCapacityController } from "./spare_capacity_controller.ts";
@@ -34,6 +34,8 @@
 const PASS_PAUSE_FACTOR = 4;
 /** A pass also takes long when the process was interrupted in it. */
 const MAX_PASS_PAUSE_MILLISECONDS = 50;
+/** The limits that refused a request are described no more often than this. */
+const DESCRIPTION_INTERVAL_MILLISECONDS = 20;
 /**
  * Peers are notified at once of prompts with this many tokens to process, so
  * that they take them into account when they choose an engine.
@@ -97,6 +99,7 @@
   #isPassScheduled = false;
   /** No pass over the queue begins before this time. */
   #nextPassAt = -Infinity;
+  #describedAt = -Infinity;
 
   constructor(options: ServiceSchedulerOptions) {
     this.service = options.service.name;
@@ -319,7 +322,19 @@
     }
     const kind = isOverShare ? RefusalKind.OverShare : RefusalKind.Overload;
     this.#queue.remove(blocked.waiting);
-    this.#refuse(blocked.waiting, kind);
+    this.#refuse(blocked.waiting, kind, this.#describeCause(blocked));
+  }
+
+  #describeCause({ request }: BlockedRequest): RefusalCause {
+    const usage = ShareUsage[request.shareUsage];
+    const { chooser, clock } = this.#options;
+    const now = clock.now();
+    if (now - this.#describedAt < DESCRIPTION_INTERVAL_MILLISECONDS) {
+      return { usage };
+    }
+    this.#describedAt = now;
+    const limits = chooser.describeLimits(request, this.#listUsableEndpoints());
+    return { usage, limits };
   }
 
   #isOverShareRefusalDue(waiting: QueuedRequest): boolean {
@@ -418,7 +433,11 @@
     });
   }
 
-  #refuse(waiting: QueuedRequest, kind: RefusalKind): void {
+  #refuse(
+    waiting: QueuedRequest,
+    kind: RefusalKind,
+    cause?: RefusalCause,
+  ): void {
     const waitedMilliseconds = this.#options.clock.now() - waiting.queuedAt;
     const retryAfterMilliseconds = kind === RefusalKind.OverShare
       ? this.#refusalPolicy.computeOverShareRetryAfter(
@@ -426,7 +445,12 @@
       )
       : this.#refusalPolicy.computeRetryAfter(this.#queue.size);
     waiting.decision.resolve({
-      refusal: { kind, retryAfterMilliseconds, waitedMilliseconds },
+      refusal: {
+        kind,
+        retryAfterMilliseconds,
+        waitedMilliseconds,
+        ...(cause === undefined ? {} : { cause }),
+      },
     });
   }
 
--- a/packages/protocol/src/admission_messages.ts
+++ b/packages/protocol/src/admission_messages.ts
@@ -86,6 +86,8 @@
   reason: string;
   retryAfterMilliseconds: number;
   waitedMilliseconds: number;
+  /** For logs; undefined if the request was not queued. */
+  cause?: { usage: string; limits?: string };
 }
 
 /** Reports that the response of a granted attempt has begun. */
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -228,6 +228,9 @@
     reason: isText,
     retryAfterMilliseconds: isAmount,
     waitedMilliseconds: isAmount,
+    cause: createOptional(
+      createObject({ usage: isText, limits: createOptional(isText) }),
+    ),
   }),
   [MessageKind.AttemptAnswering]: isEntry,
   [MessageKind.AttemptEnded]: createObject({
