--- a/packages/forwarding/src/scheduling/engine_chooser_test.ts
+++ b/packages/forwarding/src/scheduling/engine_chooser_test.ts
@@ -207,6 +207,30 @@
       .to.equal("object");
   });
 
+  it("offers prompts of every size an engine without recent prompts, whatever the share", () => {
+    const fixture = createFixture();
+    for (const endpoint of fixture.endpoints) {
+      endpoint.markResponding(endpoint.addAttempt({ tokens: 0, pairs: 0 }));
+    }
+    const usages = [ShareUsage.Within, ShareUsage.Over, ShareUsage.FarOver];
+    for (const shareUsage of usages) {
+      for (const spareCapacityFactor of [0.6, 1, 1.5]) {
+        for (let tokens = 1_000; tokens <= 60_000; tokens += 1_000) {
+          const choice = fixture.chooser.choose(
+            buildRequest("part-1", tokens, { shareUsage, spareCapacityFactor }),
+            fixture.endpoints,
+          );
+          expect(
+            choice,
+            `${tokens} tokens, ${
+              ShareUsage[shareUsage]
+            }, ${spareCapacityFactor}`,
+          ).to.be.an("object");
+        }
+      }
+    }
+  });
+
   it("limits prefill so that running streams keep their event interval", async () => {
     const fixture = createFixture(1);
     const [engine] = fixture.endpoints as [EndpointState];
--- /dev/null
+++ b/packages/forwarding/src/scheduling/spare_capacity_sizes_test.ts
@@ -0,0 +1,101 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import {
+  type SimulatedKind,
+  type SimulatedRequest,
+  SimulatedSizes,
+} from "../testing/simulated_sizes.ts";
+
+const SETTLING_MILLISECONDS = 4_000;
+const SPAN_MILLISECONDS = 14_000;
+/** The users' bound on the largest tenth and the fifth below it. */
+const MIN_RATIO = 0.5;
+/** About twice what the engines can do. */
+const LOAD_FACTOR = 2;
+
+const KINDS: readonly SimulatedKind[] = [
+  {
+    name: "plan",
+    requestsPerSecond: 85 * LOAD_FACTOR,
+    sessions: 38,
+    sharedTokens: 5_382,
+    medianTokens: 4_100,
+    spread: 1,
+    maxTokens: 54_600,
+    outputTokens: 385,
+    objectiveMilliseconds: 1_000,
+    timeoutMilliseconds: 15_000,
+  },
+  {
+    name: "query",
+    requestsPerSecond: 288 * LOAD_FACTOR,
+    sessions: 58,
+    sharedTokens: 198,
+    medianTokens: 430,
+    spread: 0.85,
+    maxTokens: 3_310,
+    outputTokens: 294,
+    objectiveMilliseconds: 500,
+    timeoutMilliseconds: 12_000,
+  },
+  {
+    name: "summary",
+    requestsPerSecond: 165 * LOAD_FACTOR,
+    sessions: 74,
+    sharedTokens: 568,
+    medianTokens: 1_200,
+    spread: 0.9,
+    maxTokens: 6_870,
+    outputTokens: 21,
+    objectiveMilliseconds: 600,
+    timeoutMilliseconds: 3_000,
+  },
+];
+
+/** What organisations send, relative to each other. */
+const WEIGHTS = [30, 25, 20, 10, 2, 2, 2, 2, 2, 1, 1, 1, 1, 1];
+
+function computeServedFraction(requests: readonly SimulatedRequest[]): number {
+  return requests.filter(({ isServed }) => isServed).length / requests.length;
+}
+
+/** Lists a kind's requests between two quantiles of their cost. */
+function listBetween(
+  requests: readonly SimulatedRequest[],
+  from: number,
+  to: number,
+): SimulatedRequest[] {
+  const sorted = [...requests].sort((first, second) =>
+    first.cost - second.cost
+  );
+  return sorted.slice(
+    Math.floor(sorted.length * from),
+    Math.floor(sorted.length * to),
+  );
+}
+
+/**
+ * Load: four organisations ask for most of about twice what the engines can do,
+ * with prompts of 200 to 60,000 tokens, from all schedulers.
+ */
+describe("sizes of requests beyond the shares", () => {
+  for (const seed of [1, 2, 3]) {
+    it(`serves the largest requests of each kind at least half as often as the kind (seed ${seed})`, async () => {
+      const simulation = new SimulatedSizes(seed);
+      simulation.start(KINDS, WEIGHTS);
+      await simulation.clock.advance(SETTLING_MILLISECONDS);
+      simulation.takeRequests();
+      await simulation.clock.advance(SPAN_MILLISECONDS);
+      const requests = simulation.takeRequests();
+      simulation.stop();
+      for (const { name } of KINDS) {
+        const all = requests.filter(({ kind }) => kind === name);
+        const bound = computeServedFraction(all) * MIN_RATIO;
+        expect(computeServedFraction(listBetween(all, 0.9, 1)), `${name}, top`)
+          .to.be.at.least(bound);
+        expect(computeServedFraction(listBetween(all, 0.7, 0.9)), `${name}`)
+          .to.be.at.least(bound);
+      }
+    });
+  }
+});
--- a/packages/forwarding/src/testing/simulated_shares.ts
+++ b/packages/forwarding/src/testing/simulated_shares.ts
@@ -1,28 +1,18 @@
 /** Organisations that compete for the engines of several schedulers. */
 
-import {
-  createLifetime,
-  createSilentLogger,
-  ManualClock,
-  RandomSource,
-} from "@rattanvane/base";
+import { createLifetime, ManualClock, RandomSource } from "@rattanvane/base";
 import type { Prompt } from "../model/call.ts";
 import { computeCost } from "../model/call.ts";
-import { EngineChooser } from "../scheduling/engine_chooser.ts";
-import { PrefillModel } from "../scheduling/prefill_model.ts";
-import {
-  type Grant,
+import type {
+  Grant,
   ServiceScheduler,
 } from "../scheduling/service_scheduler.ts";
-import { ShareMeter } from "../scheduling/share_meter.ts";
+import { buildCall, NO_RESTRICTIONS } from "./fixtures.ts";
 import {
-  buildCall,
-  buildEndpoint,
-  buildService,
-  NO_RESTRICTIONS,
-} from "./fixtures.ts";
+  SimulatedSchedulers,
+  type SimulatedSchedulersOptions,
+} from "./simulated_schedulers.ts";
 
-const EXCHANGE_MILLISECONDS = 125;
 const FIRST_EVENT_MILLISECONDS = 60;
 const PREFILL_TOKENS_PER_MILLISECOND = 140;
 const STREAM_MILLISECONDS = 300;
@@ -43,14 +33,10 @@
   schedulers: readonly number[];
 }
 
-/** The engines, the schedulers and what is configured. */
-export interface SimulatedSharesOptions {
+/** The schedulers, and the seed of the demands. */
+export interface SimulatedSharesOptions
+  extends Omit<SimulatedSchedulersOptions, "prefillTokensPerMillisecond"> {
   seed: number;
-  schedulers: number;
-  engines: number;
-  slots: number;
-  /** The configured cost units a second, whatever the engines can do. */
-  costPerSecond: number;
 }
 
 /** What an organisation asked for and was granted, in requests. */
@@ -59,17 +45,12 @@
   granted: number;
 }
 
-interface SimulatedScheduler {
-  scheduler: ServiceScheduler;
-  shares: ShareMeter;
-}
-
 /** Schedulers that exchange their state and share engines. */
 export class SimulatedShares {
   readonly clock = new ManualClock(1);
   readonly #lifetime = createLifetime();
   readonly #random: RandomSource;
-  readonly #schedulers: SimulatedScheduler[];
+  readonly #schedulers: SimulatedSchedulers;
   readonly #uses = new Map<string, SimulatedUse>();
   /** When the prefill of each engine is idle again. */
   readonly #prefillEndsAt = new Map<string, number>();
@@ -77,15 +58,22 @@
 
   constructor(options: SimulatedSharesOptions) {
     this.#random = new RandomSource(options.seed);
-    this.#schedulers = Array.from(
-      { length: options.schedulers },
-      () => this.#createScheduler(options),
+    this.#schedulers = new SimulatedSchedulers(
+      {
+        ...options,
+        prefillTokensPerMillisecond: PREFILL_TOKENS_PER_MILLISECOND,
+      },
+      {
+        clock: this.clock,
+        random: this.#random,
+        signal: this.#lifetime.signal,
+      },
     );
   }
 
   /** Starts the exchange between the schedulers and the demands. */
   start(demands: readonly SimulatedDemand[]): void {
-    void this.#exchange();
+    void this.#schedulers.run();
     for (const demand of demands) {
       void this.#send(demand);
     }
@@ -103,58 +91,6 @@
     return uses;
   }
 
-  #createScheduler(options: SimulatedSharesOptions): SimulatedScheduler {
-    const { clock } = this;
-    const { slots } = options;
-    const engine = { slots, memoryTokens: 400_000 };
-    const shares = new ShareMeter({ clock, periodMilliseconds: 4_000 });
-    shares.updateCapacity(options.costPerSecond);
-    const scheduler = new ServiceScheduler({
-      service: buildService({ engine }),
-      chooser: new EngineChooser(
-        engine,
-        new PrefillModel(1 / PREFILL_TOKENS_PER_MILLISECOND),
-      ),
-      shares,
-      clock,
-      random: new RandomSource(this.#random.nextInteger(1, 1 << 30)),
-      logger: createSilentLogger(),
-      notifyPeers: () => {},
-      coldBound: { coldMilliseconds: 3_000, arrivalsPerSecond: 30 },
-      countVms: () => options.schedulers,
-      signal: this.#lifetime.signal,
-    });
-    for (let index = 0; index < options.engines; index++) {
-      scheduler.updateEndpoint(
-        buildEndpoint(`engine-${index}`, { slots }),
-        true,
-      );
-    }
-    return { scheduler, shares };
-  }
-
-  async #exchange(): Promise<void> {
-    const { signal } = this.#lifetime;
-    while (!signal.aborted) {
-      await this.clock.sleep(EXCHANGE_MILLISECONDS, signal);
-      for (const [from, sender] of this.#schedulers.entries()) {
-        const uses = new Map(
-          [...sender.scheduler.listEndpoints()].flatMap((endpoint) => {
-            const use = endpoint.buildLocalUse();
-            return use === undefined ? [] : [[use.endpoint, use] as const];
-          }),
-        );
-        const organisations = sender.shares.listLocal();
-        for (const [to, receiver] of this.#schedulers.entries()) {
-          if (to !== from) {
-            receiver.scheduler.mergePeer(`vm-${from}`, uses);
-            receiver.shares.mergePeer(`vm-${from}`, organisations);
-          }
-        }
-      }
-    }
-  }
-
   async #send(
     { organisation, requestsPerSecond, schedulers }: SimulatedDemand,
   ): Promise<void> {
@@ -168,7 +104,7 @@
   }
 
   async #submit(organisation: string, index: number): Promise<void> {
-    const { scheduler, shares } = this.#schedulers[index] as SimulatedScheduler;
+    const { scheduler, shares } = this.#schedulers.find(index);
     const call = buildCall(this.clock.now(), {
       organisation,
       prompt: this.#buildPrompt(organisation),
