--- a/packages/forwarding/src/testing/memory_feed.ts
+++ b/packages/forwarding/src/testing/memory_feed.ts
@@ -14,11 +14,19 @@
 import { ChildAbort, type Clock, SystemClock } from "@rattanvane/base";
 import { err, ok, type Result } from "neverthrow";
 
-interface HistoryEntry extends FeedChange {
+/** One write or removal. */
+export interface HistoryEntry extends FeedChange {
   table: string;
   version: number;
 }
 
+/** The tables of a {@link MemoryFeed} at one point in time. */
+export interface MemoryFeedCopy {
+  tables: readonly (readonly [string, ReadonlyMap<string, FeedRow>])[];
+  history: readonly HistoryEntry[];
+  version: number;
+}
+
 /** Keeps tables and their change history in memory, for tests. */
 export class MemoryFeed extends TableFeed {
   #isDown = false;
@@ -33,6 +41,7 @@
   readonly #tables = new Map<string, Map<string, FeedRow>>();
   #history: HistoryEntry[] = [];
   #version = 0;
+  #isRestored = false;
   #truncatedAtVersion = 0;
 
   /** Creates an empty feed whose long polls last as long as the clock says. */
@@ -79,6 +88,26 @@
     this.#endWaits();
   }
 
+  /** Takes a copy of all tables, to which {@link restore} can go back. */
+  copy(): MemoryFeedCopy {
+    const tables = [...this.#tables].map(([table, rows]) =>
+      [table, new Map(rows)] as const
+    );
+    return { tables, history: [...this.#history], version: this.#version };
+  }
+
+  /** Goes back to a copy: what was written since is gone. */
+  restore({ tables, history, version }: MemoryFeedCopy): void {
+    this.#tables.clear();
+    for (const [table, rows] of tables) {
+      this.#tables.set(table, new Map(rows));
+    }
+    this.#history = [...history];
+    this.#version = version;
+    this.#isRestored = true;
+    this.#endWaits();
+  }
+
   /** Discards the change history; reads from older versions fail. */
   truncateHistory(): void {
     this.#history = [];
@@ -111,7 +140,9 @@
       if (this.#isDown) {
         return err(createUnavailableError());
       }
-      if (position.version < this.#truncatedAtVersion) {
+      const isUnknown = position.version < this.#truncatedAtVersion ||
+        this.#isRestored && position.version > this.#version;
+      if (isUnknown) {
         const message = "The change history is no longer available";
         return err(new PlatformError(PlatformErrorKind.HistoryGone, message));
       }
