Read the era of the store, and log when it changes

What callers saw: changes without effect after the store has come back from a copy (CONFIG). Nothing told that it had: a 410 looks like a dropped history, and without one there was no line.

The replicas' decisions do not change.

--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -93,6 +93,7 @@
   readonly #rows = new Map<string, FeedRow>();
   readonly #digest = new RowDigest();
   #version = -1;
+  #loggedEra = 0;
   /** How often rows were merged that another VM had read. */
   #mergeCount = 0;
   #connected = true;
@@ -246,6 +247,7 @@
       return false;
     }
     this.#recordSuccess();
+    this.#logEra(snapshot.value);
     if (snapshot.value.version >= this.#version) {
       this.#replaceRows(snapshot.value);
     }
@@ -356,6 +358,7 @@
       return false;
     }
     this.#recordSuccess();
+    this.#logEra(result.value);
     if (this.#mergeCount !== mergeCount) {
       // Rows of another VM were merged meanwhile, which may be newer than a
       // removal in this result.
@@ -454,6 +457,19 @@
     }
   }
 
+  #logEra({ era, version }: { era: number; version: number }): void {
+    if (era !== this.#loggedEra) {
+      this.#options.logger.warn("the era of the store has changed", {
+        table: this.table,
+        era,
+        former: this.#loggedEra,
+        version,
+        held: this.#version,
+      });
+      this.#loggedEra = era;
+    }
+  }
+
   #recordSuccess(): void {
     this.#consecutiveFailures = 0;
     this.#answeredAt = this.#options.clock.now();
--- a/packages/forwarding/src/testing/memory_feed.ts
+++ b/packages/forwarding/src/testing/memory_feed.ts
@@ -41,7 +41,7 @@
   readonly #tables = new Map<string, Map<string, FeedRow>>();
   #history: HistoryEntry[] = [];
   #version = 0;
-  #isRestored = false;
+  #era = 0;
   #truncatedAtVersion = 0;
 
   /** Creates an empty feed whose long polls last as long as the clock says. */
@@ -96,7 +96,7 @@
     return { tables, history: [...this.#history], version: this.#version };
   }
 
-  /** Goes back to a copy: what was written since is gone. */
+  /** Goes back to a copy: what was written since is gone, in a new era. */
   restore({ tables, history, version }: MemoryFeedCopy): void {
     this.#tables.clear();
     for (const [table, rows] of tables) {
@@ -104,7 +104,7 @@
     }
     this.#history = [...history];
     this.#version = version;
-    this.#isRestored = true;
+    this.#era++;
     this.#endWaits();
   }
 
@@ -123,7 +123,9 @@
       return Promise.resolve(err(createUnavailableError()));
     }
     const rows = [...this.#findTable(table).values()];
-    return Promise.resolve(ok({ rows, version: this.#version }));
+    return Promise.resolve(
+      ok({ rows, version: this.#version, era: this.#era }),
+    );
   }
 
   override async waitForChanges(
@@ -141,7 +143,7 @@
         return err(createUnavailableError());
       }
       const isUnknown = position.version < this.#truncatedAtVersion ||
-        this.#isRestored && position.version > this.#version;
+        this.#era > 0 && position.version > this.#version;
       if (isUnknown) {
         const message = "The change history is no longer available";
         return err(new PlatformError(PlatformErrorKind.HistoryGone, message));
@@ -152,7 +154,7 @@
       const hasExpired = this.#clock.now() >= endsAt;
       const isDue = !this.#isHanging && (changes.length > 0 || hasExpired);
       if (isDue || signal.aborted) {
-        return ok({ changes, version: this.#version });
+        return ok({ changes, version: this.#version, era: this.#era });
       }
       const wait = new ChildAbort(signal);
       this.#waits.add(wait);
--- a/packages/platform/src/http/platform_call.ts
+++ b/packages/platform/src/http/platform_call.ts
@@ -20,4 +20,10 @@
 export interface PlatformAnswer {
   status: number;
   body: Uint8Array;
+  headers: PlatformHeaders;
 }
+
+/** The headers of an answer, by their names in lower case. */
+export type PlatformHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -178,7 +178,11 @@
       const body = await readBody(response.body, this.#options.bodyLimitBytes);
       const retryAfter = String(response.headers["retry-after"] ?? "");
       return judgeAnswer(call, {
-        answer: { status: response.statusCode, body },
+        answer: {
+          status: response.statusCode,
+          body,
+          headers: response.headers,
+        },
         retryAfter,
       });
     } catch (thrown) {
--- a/packages/platform/src/table_feed.ts
+++ b/packages/platform/src/table_feed.ts
@@ -16,6 +16,11 @@
   rows: FeedRow[];
   /** The latest version of the store when the snapshot was taken. */
   version: number;
+  /**
+   * How often the store has come back from a copy. Versions of different eras
+   * cannot be compared: an older version is given out again in a later era.
+   */
+  era: number;
 }
 
 /** The write or removal of one row. */
@@ -30,6 +35,8 @@
   changes: FeedChange[];
   /** The version to continue from. */
   version: number;
+  /** The era of that version; changes of another era do not follow on. */
+  era: number;
 }
 
 /** What to wait for, and how. */
