Compare versions of the store within one era only

What callers saw: after the store had come back from a copy, routes that the operator added got 404 at all VMs, moved ones ran at their old service, for as long as the store's versions stayed below those before (CONFIG, DENIED).

Cause: replicas took the store's version for a number that only rises. A store that comes back from a copy gives versions out again: rows with a lower version were taken for older, polls from a version that it had passed again missed what was written below it, copies of other VMs were turned down, and the age of the copy was confirmed all the same.

Class of fault: a number compared beyond the life of whoever counts it.

Change: - The position of a replica is the era of the store and a version in it, in the replica, in its updates, copies and ages between VMs (a field more, left out in the first era). An answer of another era than it was asked from leads to a read of the whole table by the VMs that follow the store; the others get the changes from them. An answer of a former era is ignored. - The digest of rows covers their values. - What a copy cannot undo: a newer configuration (by the operator's own version) outlives its restored row and reaches VMs that read the older one; a row that was removed stays out until it is written again; a leaving endpoint stays so; a drain that the store lost is kept for 10 s, in which the operator writes again. - Removals are held back as after an outage, since registrations of the lost seconds look like removals. - Each VM writes its row of the VM list again, spread over 1.5 s.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -190,6 +190,7 @@
       ...options,
       self,
       logger: logger.forPart("membership"),
+      storeRestored: state.storeRestored,
       isFollower: () => this.#roles.isFollower,
       isAnswering: (vm) =>
         this.#membership.listAnswering(self.zone).some((known) =>
--- a/packages/forwarding/src/fleet/state_exchange_test.ts
+++ b/packages/forwarding/src/fleet/state_exchange_test.ts
@@ -143,7 +143,7 @@
 describe("StateExchange", () => {
   it("measures a peer's reported age from when the echoed message was sent", async () => {
     const fixture = createExchange();
-    fixture.configuration.mergeCopy({ version: 5, rows: [] });
+    fixture.configuration.mergeCopy({ era: 0, version: 5, rows: [] });
     await fixture.clock.advance(START_MILLISECONDS);
     const echo = findLastSequence(fixture.sender);
     await fixture.clock.advance(400);
@@ -159,7 +159,7 @@
 
   it("ignores a reported age that echoes none of this VM's messages", async () => {
     const fixture = createExchange();
-    fixture.configuration.mergeCopy({ version: 5, rows: [] });
+    fixture.configuration.mergeCopy({ era: 0, version: 5, rows: [] });
     await fixture.clock.advance(START_MILLISECONDS);
     const { digest } = fixture.configuration;
     const reported = { version: 5, digest, ageMilliseconds: 0 };
@@ -200,7 +200,7 @@
     requestCopy();
     expect(fixture.sender.sent.filter(({ to }) => to === "vm-3"))
       .to.have.lengthOf(0);
-    fixture.configuration.mergeCopy({ version: 4, rows: [] });
+    fixture.configuration.mergeCopy({ era: 0, version: 4, rows: [] });
     requestCopy();
     expect(fixture.sender.sent.at(-1)?.message)
       .to.deep.include({ kind: MessageKind.TableCopy, version: 4 });
--- a/packages/forwarding/src/fleet/table_distributor.ts
+++ b/packages/forwarding/src/fleet/table_distributor.ts
@@ -14,6 +14,10 @@
   type VmId,
 } from "@rattanvane/protocol";
 import type { ClockReading } from "../state/freshness.ts";
+import {
+  comparePositions,
+  type TablePosition,
+} from "../state/table_position.ts";
 import type { TableReplica, TableUpdate } from "../state/table_replica.ts";
 
 /** Minimum time between two requests for a copy of the same table. */
@@ -93,10 +97,16 @@
       return;
     }
     const isSame = reported.digest === replica.digest;
+    const position = buildPosition(reported);
     if (isSame) {
-      replica.confirmVersion(reported.version);
+      replica.confirmPosition(position);
+    }
+    const order = comparePositions(position, replica);
+    if (order === 0 && !isSame) {
+      // One of the two keeps a later row than the one that was restored.
+      this.requestTable(from, replica);
     }
-    if (isSame || reported.version <= replica.version) {
+    if (isSame || order <= 0) {
       if (sentAt !== undefined && replica.version >= 0) {
         replica.confirmAge(sentAt, reported.ageMilliseconds);
       }
@@ -146,7 +156,7 @@
       table,
       digestBefore: update.digestBefore,
       digest: update.digest,
-      version: update.version,
+      ...buildMessagePosition(update),
       rows,
       removedKeys: [...update.removedKeys],
       isAfterOutage: hold > 0,
@@ -174,28 +184,31 @@
     this.#options.sender.send(to, {
       kind: MessageKind.TableCopy,
       table,
-      version: replica.version,
+      ...buildMessagePosition(replica),
       rows,
     });
   }
 
   #mergeCopy(from: VmId, copy: TableCopyMessage): void {
     const replica = this.#findReplica(copy.table);
-    if (replica === undefined || copy.version <= replica.version) {
+    const position = buildPosition(copy);
+    if (replica === undefined || comparePositions(position, replica) < 0) {
       return;
     }
     this.#options.logger.info("accepted another VM's copy of a table", {
       from,
       table: copy.table,
       version: copy.version,
+      era: position.era,
       former: replica.version,
     });
-    replica.mergeCopy(copy);
+    replica.mergeCopy({ ...copy, ...position });
   }
 
   #mergeChanges(from: VmId, changes: TableChangesMessage): void {
     const replica = this.#findReplica(changes.table);
-    if (replica === undefined || changes.version <= replica.version) {
+    const position = buildPosition(changes);
+    if (replica === undefined || comparePositions(position, replica) <= 0) {
       return;
     }
     // A VM that follows the store itself knows whether there was an outage.
@@ -205,7 +218,7 @@
     ) {
       this.#options.extendHold(changes.holdMilliseconds ?? Infinity);
     }
-    if (!replica.mergeUpdate(changes)) {
+    if (!replica.mergeUpdate({ ...changes, ...position })) {
       this.requestTable(from, replica);
     }
   }
@@ -222,12 +235,25 @@
     return undefined;
   }
   return {
-    version: replica.version,
+    ...buildMessagePosition(replica),
     digest: replica.digest,
     ageMilliseconds: Math.ceil(age),
   };
 }
 
+/** The first era is left out of messages. */
+function buildMessagePosition(
+  { era, version }: TablePosition,
+): { era?: number; version: number } {
+  return era === 0 ? { version } : { era, version };
+}
+
+function buildPosition(
+  { era, version }: { era?: number; version: number },
+): TablePosition {
+  return { era: era ?? 0, version };
+}
+
 function convertRow({ key, version, value }: CopiedRow): CopiedRow {
   return { key, version, value };
 }
--- a/packages/forwarding/src/fleet/vm_list.ts
+++ b/packages/forwarding/src/fleet/vm_list.ts
@@ -1,12 +1,21 @@
 /** The list of VMs in the store, from which a starting VM finds the others. */
 
 import { Buffer } from "node:buffer";
-import { type Clock, describeError, type Logger } from "@rattanvane/base";
+import {
+  ChildAbort,
+  type Clock,
+  describeError,
+  type Emitter,
+  type Logger,
+  type RandomSource,
+} from "@rattanvane/base";
 import type { TableFeed } from "@rattanvane/platform";
 import type { VmContact, VmId } from "@rattanvane/protocol";
 
 const TABLE = "vms";
 const RETRY_MILLISECONDS = 1_000;
+/** All VMs write their rows again, so they spread the calls over this time. */
+const MAX_REWRITE_DELAY_MILLISECONDS = 1_500;
 /** Followers read the list again, so that separated groups find each other. */
 const REREAD_MILLISECONDS = 15_000;
 /** Rows of VMs that did not answer at this many reads are removed. */
@@ -17,11 +26,14 @@
   self: VmContact;
   feed: TableFeed;
   clock: Clock;
+  random: RandomSource;
   logger: Logger;
   /** Whether this VM reads the list again after its start. */
   isFollower: () => boolean;
   /** Whether a VM of this VM's zone answers. */
   isAnswering: (vm: VmId) => boolean;
+  /** Emits when the store has come back from a copy without the latest rows. */
+  storeRestored: Emitter<void>;
   /** Called with the other VMs after every read. */
   addContacts: (contacts: readonly VmContact[]) => void;
 }
@@ -35,6 +47,8 @@
   /** Reads at which a listed VM of this zone did not answer. */
   readonly #missedReads = new Map<VmId, number>();
   #size: number | undefined;
+  #isRewriteRequested = false;
+  #wait: ChildAbort | undefined;
 
   constructor(options: VmListOptions) {
     this.#options = options;
@@ -47,17 +61,41 @@
 
   /** Writes this VM's row, then reads the list, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    this.#options.storeRestored.listen(() => this.#requestRewrite(), signal);
     await this.#retry(() => this.#writeSelf(signal), signal);
     await this.#retry(() => this.#read(signal), signal);
     const { clock, isFollower } = this.#options;
     while (!signal.aborted) {
-      await clock.sleep(REREAD_MILLISECONDS, signal);
-      if (isFollower() && !signal.aborted) {
+      const wait = new ChildAbort(signal);
+      this.#wait = wait;
+      if (!this.#isRewriteRequested) {
+        await clock.sleep(REREAD_MILLISECONDS, wait.signal);
+      }
+      wait.abort();
+      if (this.#isRewriteRequested) {
+        await this.#rewriteSelf(signal);
+      } else if (isFollower() && !signal.aborted) {
         await this.#read(signal);
       }
     }
   }
 
+  #requestRewrite(): void {
+    this.#isRewriteRequested = true;
+    this.#wait?.abort();
+  }
+
+  /** Writes this VM's row again, which the store may have lost. */
+  async #rewriteSelf(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.#options;
+    await clock.sleep(
+      MAX_REWRITE_DELAY_MILLISECONDS * random.nextFraction(),
+      signal,
+    );
+    this.#isRewriteRequested = false;
+    await this.#retry(() => this.#writeSelf(signal), signal);
+  }
+
   /** Removes this VM from the list. */
   async removeSelf(signal: AbortSignal): Promise<void> {
     await this.#removeRow(this.#options.self.vm, signal);
--- a/packages/forwarding/src/fleet/vm_list_test.ts
+++ b/packages/forwarding/src/fleet/vm_list_test.ts
@@ -1,4 +1,9 @@
-import { createSilentLogger, ManualClock } from "@rattanvane/base";
+import {
+  createSilentLogger,
+  Emitter,
+  ManualClock,
+  RandomSource,
+} from "@rattanvane/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { MemoryFeed } from "../testing/memory_feed.ts";
@@ -13,10 +18,13 @@
   const feed = new MemoryFeed(clock);
   const contacts = new Set<string>();
   const answering = new Set<string>();
+  const storeRestored = new Emitter<void>();
   const list = new VmList({
     self: buildContact("vm-1"),
     feed,
     clock,
+    random: new RandomSource(1),
+    storeRestored,
     logger: createSilentLogger(),
     isFollower: () => options.isFollower,
     isAnswering: (vm) => answering.has(vm),
@@ -26,7 +34,17 @@
   const start = () => void list.run(lifetime.signal);
   const listRows = async () =>
     (await feed.readTable("vms"))._unsafeUnwrap().rows.map(({ key }) => key);
-  return { clock, feed, contacts, answering, list, lifetime, start, listRows };
+  return {
+    clock,
+    feed,
+    contacts,
+    answering,
+    list,
+    lifetime,
+    start,
+    listRows,
+    storeRestored,
+  };
 }
 
 describe("VmList", () => {
@@ -44,6 +62,25 @@
     fixture.lifetime.abort();
   });
 
+  it("writes this VM's row again when a restored store has lost it", async () => {
+    const fixture = createList({ isFollower: false });
+    const copy = fixture.feed.copy();
+    fixture.start();
+    await fixture.clock.advance(1_000);
+    fixture.feed.restore(copy);
+    expect(await fixture.listRows()).to.deep.equal([]);
+    fixture.feed.isDown = true;
+    fixture.storeRestored.emit();
+    await fixture.clock.advance(3_000);
+    fixture.feed.isDown = false;
+    await fixture.clock.advance(3_000);
+    expect(await fixture.listRows()).to.deep.equal(["vm-1"]);
+    const { calls } = fixture.feed;
+    await fixture.clock.advance(120_000);
+    expect(fixture.feed.calls).to.equal(calls);
+    fixture.lifetime.abort();
+  });
+
   it("retries until the store is available, and ignores rows that hold no contact", async () => {
     const fixture = createList({ isFollower: false });
     fixture.feed.isDown = true;
--- a/packages/forwarding/src/state/endpoint_directory.ts
+++ b/packages/forwarding/src/state/endpoint_directory.ts
@@ -91,6 +91,24 @@
     this.changes.emit({ kind: pickKind(previous, isSameProcess), entry });
   }
 
+  /**
+   * Applies a registration that the store came back to from a copy. A process
+   * that was leaving leaves still.
+   */
+  restore(record: EndpointRecord): void {
+    const known = this.find(record.id);
+    const wasLeaving = known?.phase === EndpointPhase.Draining &&
+      known.startedAtUnixMilliseconds === record.startedAtUnixMilliseconds;
+    if (wasLeaving && record.phase === EndpointPhase.Up) {
+      this.#log(
+        "an older registration of a leaving endpoint was ignored",
+        known,
+      );
+      return;
+    }
+    this.update(record);
+  }
+
   /**
    * Removes an endpoint whose row is gone or not usable. The removal is deferred
    * while removals are held back.
@@ -118,6 +136,14 @@
       REREGISTRATION_MILLISECONDS;
   }
 
+  /**
+   * Holds removals back after the store has come back from a copy, which may be
+   * older than the registrations of live endpoints.
+   */
+  holdRestoredRemovals(): void {
+    this.extendHold(REREGISTRATION_MILLISECONDS);
+  }
+
   /**
    * Holds removals back for as long as another VM does that read them; never
    * shortens a hold of this VM's own.
--- a/packages/forwarding/src/state/fleet_state.ts
+++ b/packages/forwarding/src/state/fleet_state.ts
@@ -6,7 +6,7 @@
   type Logger,
   type RandomSource,
 } from "@rattanvane/base";
-import type { TableFeed } from "@rattanvane/platform";
+import type { FeedRow, TableFeed } from "@rattanvane/platform";
 import type { ZoneId } from "@rattanvane/protocol";
 import { RouteTable } from "../model/route_table.ts";
 import { EndpointDirectory } from "./endpoint_directory.ts";
@@ -15,6 +15,11 @@
 
 const CONFIGURATION_POLL_TIMEOUT_MILLISECONDS = 1_250;
 const ENDPOINTS_POLL_TIMEOUT_MILLISECONDS = 1_250;
+/**
+ * When the store has come back from a copy, the operator writes again what it
+ * wrote, within this time.
+ */
+const OPERATOR_REWRITE_MILLISECONDS = 10_000;
 const HELD_REMOVALS_CHECK_MILLISECONDS = 100;
 /** Shorter than the time for which removals are held back. */
 const EXPIRY_CHECK_MILLISECONDS = 1_000;
@@ -47,8 +52,13 @@
   readonly endpoints: TableReplica;
   readonly routesChanged = new Emitter<RouteTable>();
   readonly drainsChanged = new Emitter<ZoneId>();
+  /** Emits when the store has come back from a copy. */
+  readonly storeRestored = new Emitter<void>();
   readonly #options: FleetStateOptions;
   #routes: RouteTable | undefined;
+  #era = 0;
+  /** When the drains end that a restored store no longer holds. */
+  readonly #lostDrains = new Map<ZoneId, number>();
 
   constructor(options: FleetStateOptions) {
     const { decoder } = options;
@@ -61,6 +71,7 @@
     this.configuration = new TableReplica({
       ...shared,
       table: decoder.tables.operator,
+      isLater: (row, other) => this.#isLaterConfiguration(row, other),
       waitMilliseconds: CONFIGURATION_POLL_TIMEOUT_MILLISECONDS,
     });
     this.endpoints = new TableReplica({
@@ -112,6 +123,14 @@
         this.directory.holdRemovals();
       }
     }, signal);
+    this.endpoints.eraChanges.listen(() => {
+      this.directory.holdRestoredRemovals();
+      this.#recordEra(this.endpoints.era);
+    }, signal);
+    this.configuration.eraChanges.listen(
+      () => this.#recordEra(this.configuration.era),
+      signal,
+    );
     await Promise.all([
       this.configuration.run(signal),
       this.endpoints.run(signal),
@@ -119,6 +138,14 @@
     ]);
   }
 
+  /** Both tables tell of the same era. */
+  #recordEra(era: number): void {
+    if (era > this.#era) {
+      this.#era = era;
+      this.storeRestored.emit();
+    }
+  }
+
   async #runExpiryChecks(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const interval = this.directory.heldRemovals > 0
@@ -126,23 +153,60 @@
         : EXPIRY_CHECK_MILLISECONDS;
       await this.#options.clock.sleep(interval, signal);
       this.directory.removeExpired();
+      this.#endLostDrains();
     }
   }
 
-  #applyOperatorRow({ key, value }: RowChange): void {
-    const { decoder } = this.#options;
+  #applyOperatorRow({ key, value, isRestored }: RowChange): void {
+    const { clock, decoder, logger } = this.#options;
     if (decoder.isConfiguration(key)) {
       this.#applyConfiguration(value);
       return;
     }
     const zone = decoder.findDrainedZone(key);
-    const hasChanged = zone !== undefined &&
-      this.directory.updateZoneDrain(zone, value !== undefined);
-    if (hasChanged) {
+    if (zone === undefined) {
+      return;
+    }
+    this.#lostDrains.delete(zone);
+    if (value === undefined && isRestored) {
+      this.#lostDrains.set(zone, clock.now() + OPERATOR_REWRITE_MILLISECONDS);
+      logger.warn("the store has lost the drain of a zone; keeping it", {
+        zone,
+        milliseconds: OPERATOR_REWRITE_MILLISECONDS,
+      });
+      return;
+    }
+    this.#updateDrain(zone, value !== undefined);
+  }
+
+  #updateDrain(zone: ZoneId, isDrained: boolean): void {
+    if (this.directory.updateZoneDrain(zone, isDrained)) {
       this.drainsChanged.emit(zone);
     }
   }
 
+  /** Ends the drains that the store has lost and the operator has not renewed. */
+  #endLostDrains(): void {
+    const now = this.#options.clock.now();
+    for (const [zone, endsAt] of this.#lostDrains) {
+      if (now >= endsAt) {
+        this.#lostDrains.delete(zone);
+        this.#updateDrain(zone, false);
+      }
+    }
+  }
+
+  /** The operator's own versions only rise, whatever the store does. */
+  #isLaterConfiguration(row: FeedRow, other: FeedRow): boolean {
+    const { decoder } = this.#options;
+    if (!decoder.isConfiguration(row.key)) {
+      return false;
+    }
+    const version = decoder.decodeConfiguration(row.value)?.version;
+    const otherVersion = decoder.decodeConfiguration(other.value)?.version;
+    return version !== undefined && version > (otherVersion ?? -Infinity);
+  }
+
   #applyConfiguration(value: Uint8Array | undefined): void {
     const { decoder, logger } = this.#options;
     const decoded = value === undefined
@@ -172,7 +236,7 @@
     this.routesChanged.emit(this.#routes);
   }
 
-  #applyEndpointRow({ key, value }: RowChange): void {
+  #applyEndpointRow({ key, value, isRestored }: RowChange): void {
     if (value === undefined) {
       this.directory.remove(key);
       return;
@@ -188,6 +252,10 @@
       this.directory.remove(key);
       return;
     }
-    this.directory.update(record);
+    if (isRestored) {
+      this.directory.restore(record);
+    } else {
+      this.directory.update(record);
+    }
   }
 }
--- a/packages/forwarding/src/state/row_digest_test.ts
+++ b/packages/forwarding/src/state/row_digest_test.ts
@@ -2,27 +2,37 @@
 import { describe, it } from "mocha";
 import { RowDigest } from "./row_digest.ts";
 
+function buildRow(key: string, version: number, text = "") {
+  return { key, version, value: new TextEncoder().encode(text) };
+}
+
 describe("RowDigest", () => {
   it("is equal for equal rows, in whatever order they were added and removed", () => {
     const first = new RowDigest();
-    first.add("a", 1);
-    first.add("b", 2);
+    first.add(buildRow("a", 1));
+    first.add(buildRow("b", 2));
     const second = new RowDigest();
-    second.add("b", 2);
-    second.add("c", 3);
-    second.add("a", 1);
-    second.remove("c", 3);
+    second.add(buildRow("b", 1));
+    second.add(buildRow("b", 2));
+    second.add(buildRow("c", 3));
+    second.add(buildRow("a", 1));
+    second.remove("c");
     expect(second.text).to.equal(first.text);
   });
 
-  it("differs for another key, another version and a missing row", () => {
-    const texts = new Set<string>();
-    for (const [key, version] of [["a", 1], ["a", 2], ["b", 1]] as const) {
+  it("differs for another key, version or value and a missing row", () => {
+    const rows = [
+      buildRow("a", 1),
+      buildRow("a", 2),
+      buildRow("b", 1),
+      buildRow("a", 1, "value"),
+    ];
+    const texts = new Set<string>([new RowDigest().text]);
+    for (const row of rows) {
       const digest = new RowDigest();
-      digest.add(key, version);
+      digest.add(row);
       texts.add(digest.text);
     }
-    texts.add(new RowDigest().text);
-    expect(texts.size).to.equal(4);
+    expect(texts.size).to.equal(5);
   });
 });
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -1,5 +1,6 @@
 /** Local replica of one of the store's tables. */
 
+import { Buffer } from "node:buffer";
 import {
   ChildAbort,
   type Clock,
@@ -18,6 +19,7 @@
 import type { Result } from "neverthrow";
 import { type ClockReading, Freshness } from "./freshness.ts";
 import { RowDigest } from "./row_digest.ts";
+import { comparePositions, type TablePosition } from "./table_position.ts";
 
 const SILENT_REASON = "The store answers on no connection";
 const INITIAL_BACKOFF_MILLISECONDS = 40;
@@ -33,6 +35,9 @@
 const MIN_CHECK_MILLISECONDS = 20;
 const MAX_CHECK_MILLISECONDS = 1_000;
 
+/** Removed rows are remembered for this time, in case they are restored. */
+const REMOVAL_MEMORY_MILLISECONDS = 60_000;
+
 /** What a poll's answer is compared with. */
 interface PollState {
   /** The number of merges of other VMs' rows before the poll. */
@@ -41,6 +46,11 @@
   sent: ClockReading;
 }
 
+interface RemovedRow {
+  row: FeedRow;
+  removedAt: number;
+}
+
 /** Dependencies and settings of a {@link TableReplica}. */
 export interface TableReplicaOptions {
   table: string;
@@ -57,6 +67,11 @@
   isPolling: () => boolean;
   /** The age from which a VM polls although another one sends it the changes. */
   maxUnpolledAgeMilliseconds: number;
+  /**
+   * Whether a row's value is later than that of another row with the same key,
+   * whatever their versions; never by default.
+   */
+  isLater?: (row: FeedRow, other: FeedRow) => boolean;
 }
 
 /** A row that was written or removed. */
@@ -64,6 +79,8 @@
   key: string;
   /** Undefined for a row that was removed. */
   value: Uint8Array | undefined;
+  /** Whether the store has only come back to this state from a copy. */
+  isRestored: boolean;
 }
 
 /** The store became available or unavailable. */
@@ -71,13 +88,17 @@
   connected: boolean;
 }
 
+/** All rows of a table at a position. */
+export interface TableCopy extends TablePosition {
+  rows: readonly FeedRow[];
+}
+
 /** Changes that were applied together. */
-export interface TableUpdate {
+export interface TableUpdate extends TablePosition {
   /** The digest of the rows to which the changes apply. */
   digestBefore: string;
   /** The digest after the changes. */
   digest: string;
-  version: number;
   rows: readonly FeedRow[];
   removedKeys: readonly string[];
 }
@@ -89,11 +110,17 @@
   /** Emits once for all changes that were applied together. */
   readonly updates = new Emitter<TableUpdate>();
   readonly connectivityChanges = new Emitter<ConnectivityChange>();
+  /** Emits before the rows of a new era are applied. */
+  readonly eraChanges = new Emitter<void>();
   readonly #options: TableReplicaOptions;
+  readonly #isLater: (row: FeedRow, other: FeedRow) => boolean;
   readonly #rows = new Map<string, FeedRow>();
   readonly #digest = new RowDigest();
   #version = -1;
-  #loggedEra = 0;
+  /** Undefined until the table was read. */
+  #era: number | undefined;
+  /** The last values of rows that were removed lately. */
+  readonly #removedRows = new Map<string, RemovedRow>();
   /** How often rows were merged that another VM had read. */
   #mergeCount = 0;
   #connected = true;
@@ -108,6 +135,7 @@
 
   constructor(options: TableReplicaOptions) {
     this.#options = options;
+    this.#isLater = options.isLater ?? (() => false);
     this.#answeredAt = options.clock.now();
     this.freshness = new Freshness(options.clock);
   }
@@ -121,6 +149,11 @@
     return this.#version;
   }
 
+  /** The era of the store that gave that version out. */
+  get era(): number {
+    return this.#era ?? 0;
+  }
+
   /** Whether the store was available at the last poll. */
   get connected(): boolean {
     return this.#connected;
@@ -132,7 +165,7 @@
       !this.#options.isPolling();
   }
 
-  /** A digest of the rows' keys and versions; equal for equal rows. */
+  /** A digest of the rows; equal for equal rows. */
   get digest(): string {
     return this.#digest.text;
   }
@@ -149,11 +182,19 @@
     }
   }
 
-  /** Replaces the rows by another VM's copy if that is newer. */
-  mergeCopy(copy: { version: number; rows: readonly FeedRow[] }): void {
-    if (copy.version > this.#version) {
+  /**
+   * Replaces the rows by another VM's copy if that is newer. Of a copy of the
+   * same position, takes the rows with later values.
+   */
+  mergeCopy(copy: TableCopy): void {
+    const order = comparePositions(copy, this);
+    if (order >= 0) {
       this.#mergeCount++;
+    }
+    if (order > 0) {
       this.#replaceRows(copy);
+    } else if (order === 0) {
+      this.#applyChanges({ ...copy, removedKeys: [] });
     }
   }
 
@@ -162,8 +203,11 @@
    * apply to the rows of this replica.
    */
   mergeUpdate(update: TableUpdate): boolean {
+    if (update.era < this.era) {
+      return true;
+    }
     if (update.digest === this.digest) {
-      this.#version = Math.max(this.#version, update.version);
+      this.confirmPosition(update);
       return true;
     }
     if (this.#version < 0 || update.digestBefore !== this.digest) {
@@ -189,10 +233,11 @@
     }
   }
 
-  /** Records that these rows are complete up to a newer version. */
-  confirmVersion(version: number): void {
-    if (this.#version >= 0) {
-      this.#version = Math.max(this.#version, version);
+  /** Records that these rows are complete up to a newer position. */
+  confirmPosition(position: TablePosition): void {
+    if (this.#version >= 0 && comparePositions(position, this) > 0) {
+      this.#startEra(position.era);
+      this.#version = position.version;
     }
   }
 
@@ -246,9 +291,11 @@
       this.#recordFailure(snapshot.error, signal);
       return false;
     }
+    if (this.#isOfFormerEra(snapshot.value)) {
+      return false;
+    }
     this.#recordSuccess();
-    this.#logEra(snapshot.value);
-    if (snapshot.value.version >= this.#version) {
+    if (comparePositions(snapshot.value, this) >= 0) {
       this.#replaceRows(snapshot.value);
     }
     this.#isRefreshRequested = false;
@@ -357,21 +404,37 @@
       this.#handleFailure(result.error, signal);
       return false;
     }
+    const { changes, version, era } = result.value;
+    if (this.#isOfFormerEra(result.value)) {
+      return false;
+    }
     this.#recordSuccess();
-    this.#logEra(result.value);
+    if (era > this.era) {
+      this.#options.logger.warn(
+        "store has come back from a copy; reading the whole table",
+        {
+          table: this.table,
+          era,
+          former: this.era,
+          version,
+          held: this.#version,
+        },
+      );
+      this.#version = -1;
+      return true;
+    }
     if (this.#mergeCount !== mergeCount) {
       // Rows of another VM were merged meanwhile, which may be newer than a
       // removal in this result.
       this.#isRefreshRequested = true;
       return true;
     }
-    const { changes, version } = result.value;
     const latest = new Map(changes.map(({ key, row }) => [key, row]));
     const rows = [...latest.values()].filter((row) => row !== undefined);
     const removedKeys = [...latest.keys()].filter((key) =>
       latest.get(key) === undefined
     );
-    this.#applyChanges({ rows, removedKeys, version });
+    this.#applyChanges({ rows, removedKeys, version, era });
     this.freshness.confirm(sent);
     return true;
   }
@@ -391,82 +454,125 @@
     this.#version = -1;
   }
 
-  #replaceRows(
-    copy: { version: number; rows: readonly FeedRow[] },
-  ): void {
+  /** An answer may have been on its way since before the store came back. */
+  #isOfFormerEra({ era }: TablePosition): boolean {
+    const isFormer = era < this.era;
+    if (isFormer) {
+      this.#options.logger.info(
+        "an answer of a former era of the store was ignored",
+        { table: this.table, era, current: this.era },
+      );
+    }
+    return isFormer;
+  }
+
+  #replaceRows(copy: TableCopy): void {
     const presentKeys = new Set(copy.rows.map(({ key }) => key));
     const removedKeys = [...this.#rows.keys()].filter((key) =>
       !presentKeys.has(key)
     );
-    this.#applyChanges({
-      rows: copy.rows,
-      removedKeys,
-      version: copy.version,
-    });
+    this.#applyChanges({ ...copy, removedKeys });
     this.#version = copy.version;
   }
 
   #applyChanges(
-    changes: Pick<TableUpdate, "rows" | "removedKeys" | "version">,
+    changes: Pick<TableUpdate, "rows" | "removedKeys" | "version" | "era">,
   ): void {
+    const isRestored = this.#startEra(changes.era);
     const digestBefore = this.digest;
-    const changedRows = changes.rows.filter((row) => this.#isNewer(row));
+    const changedRows = isRestored
+      ? this.#listRestored(changes.rows)
+      : changes.rows.filter((row) => this.#isNewer(row));
     const removedKeys = changes.removedKeys.filter((key) =>
       this.#rows.has(key)
     );
+    const presentRows = changedRows.filter((row) =>
+      !isRestored || !this.#wasRemoved(row)
+    );
     for (const row of changedRows) {
       this.#writeRow(row);
     }
     for (const key of removedKeys) {
       this.#removeRow(key);
     }
-    this.#version = Math.max(this.#version, changes.version);
-    for (const { key, value } of changedRows) {
-      this.changes.emit({ key, value });
+    this.#version = isRestored
+      ? changes.version
+      : Math.max(this.#version, changes.version);
+    for (const { key, value } of presentRows) {
+      this.changes.emit({ key, value, isRestored });
     }
     for (const key of removedKeys) {
-      this.changes.emit({ key, value: undefined });
+      this.changes.emit({ key, value: undefined, isRestored });
     }
     if (this.digest !== digestBefore) {
       this.updates.emit({
         digestBefore,
         digest: this.digest,
         version: this.#version,
+        era: this.era,
         rows: changedRows,
         removedKeys,
       });
     }
   }
 
-  #isNewer({ key, version }: FeedRow): boolean {
-    const previous = this.#rows.get(key);
-    return previous === undefined || previous.version < version;
+  /** Returns whether rows of a former era were read before. */
+  #startEra(era: number): boolean {
+    const isRestored = this.#era !== undefined && era > this.#era;
+    this.#era = Math.max(this.#era ?? era, era);
+    if (isRestored) {
+      this.eraChanges.emit();
+    }
+    return isRestored;
+  }
+
+  /** Lists the rows that differ from those held, with the later values. */
+  #listRestored(rows: readonly FeedRow[]): FeedRow[] {
+    return rows.flatMap((row) => {
+      const held = this.#rows.get(row.key);
+      if (held === undefined) {
+        return [row];
+      }
+      const value = this.#isLater(held, row) ? held.value : row.value;
+      const isSame = held.version === row.version &&
+        Buffer.compare(held.value, value) === 0;
+      return isSame ? [] : [{ ...row, value }];
+    });
+  }
+
+  #isNewer(row: FeedRow): boolean {
+    const previous = this.#rows.get(row.key);
+    return previous === undefined || previous.version < row.version ||
+      previous.version === row.version && this.#isLater(row, previous);
+  }
+
+  /** Whether this very row was removed before the store came back. */
+  #wasRemoved({ key, version, value }: FeedRow): boolean {
+    const removed = this.#removedRows.get(key)?.row;
+    return removed?.version === version &&
+      Buffer.compare(removed.value, value) === 0;
   }
 
   #writeRow(row: FeedRow): void {
-    this.#removeRow(row.key);
     this.#rows.set(row.key, row);
-    this.#digest.add(row.key, row.version);
+    this.#digest.add(row);
   }
 
   #removeRow(key: string): void {
-    const previous = this.#rows.get(key);
-    if (previous !== undefined) {
-      this.#rows.delete(key);
-      this.#digest.remove(key, previous.version);
+    const row = this.#rows.get(key);
+    if (row === undefined) {
+      return;
     }
-  }
-
-  #logEra({ era, version }: { era: number; version: number }): void {
-    if (era !== this.#loggedEra) {
-      this.#options.logger.warn("the era of the store has changed", {
-        table: this.table,
-        era,
-        former: this.#loggedEra,
-        version,
-        held: this.#version,
-      });
-      this.#loggedEra = era;
+    this.#rows.delete(key);
+    this.#digest.remove(key);
+    const removedAt = this.#options.clock.now();
+    this.#removedRows.delete(key);
+    this.#removedRows.set(key, { row, removedAt });
+    for (const [removedKey, removed] of this.#removedRows) {
+      if (removed.removedAt >= removedAt - REMOVAL_MEMORY_MILLISECONDS) {
+        return;
+      }
+      this.#removedRows.delete(removedKey);
     }
   }
 
--- a/packages/protocol/src/admission_messages.ts
+++ b/packages/protocol/src/admission_messages.ts
@@ -156,6 +156,8 @@
   /** The digest of the changed rows. */
   digest: string;
   version: number;
+  /** The era of the store that gave that version out; unset for the first. */
+  era?: number;
   rows: CopiedRow[];
   removedKeys: string[];
   /** Whether removals may be due to an outage of the store. */
--- a/packages/protocol/src/field_names.ts
+++ b/packages/protocol/src/field_names.ts
@@ -138,6 +138,7 @@
   "excluded",
   "limits",
   "requestsPerSecond",
+  "era",
 ];
 
 /** Builds the map from field names to their numeric codes. */
--- a/packages/protocol/src/forwarding_messages.ts
+++ b/packages/protocol/src/forwarding_messages.ts
@@ -29,6 +29,8 @@
 export interface TableAge {
   /** The replica includes all changes up to this version. */
   version: number;
+  /** The era of the store that gave that version out; unset for the first. */
+  era?: number;
   digest: string;
   /** Time between the last store query and this message, in milliseconds. */
   ageMilliseconds: number;
@@ -133,5 +135,7 @@
   table: string;
   /** The replica includes all changes up to this version. */
   version: number;
+  /** The era of the store that gave that version out; unset for the first. */
+  era?: number;
   rows: CopiedRow[];
 }
--- a/packages/protocol/src/message_checks.ts
+++ b/packages/protocol/src/message_checks.ts
@@ -55,6 +55,7 @@
 
 const TABLE_AGE_FIELDS = {
   version: isNumber,
+  era: createOptional(isAmount),
   digest: isText,
   ageMilliseconds: isAmount,
 };
@@ -176,6 +177,7 @@
   [MessageKind.TableCopy]: createObject({
     table: isText,
     version: isNumber,
+    era: createOptional(isAmount),
     rows: createList(isRow),
   }),
   [MessageKind.TableChanges]: createObject({
@@ -183,6 +185,7 @@
     digestBefore: isText,
     digest: isText,
     version: isNumber,
+    era: createOptional(isAmount),
     rows: createList(isRow),
     removedKeys: createList(isText),
     isAfterOutage: isFlag,
