Show the same cause in the leases of pools (failing, listed)

What callers would see: two schedulers of one pool. A VM acquires a lease in the seconds that the platform's table loses, another one acquires it after the table's return and gets the same version; the first one's renewal, conditional on that version, succeeds and writes over the other's lease ("written", and "conflict" expected).

Cause: the same as for replicas, versions compared beyond the life of whoever counts them. The table service of the product tells no era, and a condition holds a version only, so that this needs a change of its contract. Forwarding routes use neither leases nor this table.

--- a/packages/platform/src/testing/memory_table_service.ts
+++ b/packages/platform/src/testing/memory_table_service.ts
@@ -17,7 +17,7 @@
 /** Keeps rows in memory; fails as its switches say. */
 export class MemoryTableService extends TableService {
   readonly faults: PlatformFaults;
-  readonly #rows = new Map<string, TableRow>();
+  #rows = new Map<string, TableRow>();
 
   constructor(faults: PlatformFaults) {
     super();
@@ -53,6 +53,16 @@
     return [...this.#rows.keys()].sort();
   }
 
+  /** Takes a copy of all rows, to which {@link restore} can go back. */
+  copy(): ReadonlyMap<string, TableRow> {
+    return new Map(this.#rows);
+  }
+
+  /** Goes back to a copy; versions since are given out again. */
+  restore(copy: ReadonlyMap<string, TableRow>): void {
+    this.#rows = new Map(copy);
+  }
+
   #findRange(query: RangeQuery): TableRow[] {
     const { prefix, afterKey = "", limit } = query;
     return this.listKeys()
