Keep the digest of rows as it was in the first era

What callers saw: nothing yet; found by reading. Its digests cover the values of rows, so a VM of this release and one of the release before would never have equal digests during a rolling upgrade, and ask each other for whole tables again and again.

Cause: the digest changed for all stores, though only one that has come back from a copy gives versions out twice.

Change: values are part of the digest from the second era on. A change of the era changes the digest, so that its update reaches the other VMs also when no row has changed. VMs ask for a copy of the same position only in a later era.

Evidence: the tests of the replica, of the digest and of a restored store pass; a test with VMs of two releases does not exist.

--- a/packages/forwarding/src/fleet/table_distributor.ts
+++ b/packages/forwarding/src/fleet/table_distributor.ts
@@ -102,7 +102,7 @@
       replica.confirmPosition(position);
     }
     const order = comparePositions(position, replica);
-    if (order === 0 && !isSame) {
+    if (order === 0 && !isSame && position.era > 0) {
       // One of the two keeps a later row than the one that was restored.
       this.requestTable(from, replica);
     }
--- a/packages/forwarding/src/state/row_digest.ts
+++ b/packages/forwarding/src/state/row_digest.ts
@@ -7,17 +7,27 @@
 
 /**
  * Keeps the digest of a set of rows: the sum of the rows' hashes. Adding and
- * removing a row takes the same time for any number of rows. Values are part of
- * the hashes, since a store that comes back from a copy gives versions out again.
+ * removing a row takes the same time for any number of rows.
  */
 export class RowDigest {
+  readonly #includesValues: boolean;
   readonly #hashes = new Map<string, bigint>();
   #sum = 0n;
 
+  /**
+   * Creates the digest of no rows.
+   *
+   * @param includesValues whether rows with the same key and version may differ,
+   * as in a store that gives versions out again
+   */
+  constructor(includesValues = false) {
+    this.#includesValues = includesValues;
+  }
+
   /** Adds a row, in place of the one with the same key. */
   add(row: FeedRow): void {
     this.remove(row.key);
-    const hash = hashRow(row);
+    const hash = this.#hash(row);
     this.#hashes.set(row.key, hash);
     this.#sum = BigInt.asUintN(DIGEST_BYTES * 8, this.#sum + hash);
   }
@@ -31,14 +41,16 @@
     }
   }
 
+  #hash({ key, version, value }: FeedRow): bigint {
+    const hash = createHash("sha256").update(`${key}\n${version}`);
+    if (this.#includesValues) {
+      hash.update("\n").update(value);
+    }
+    return hash.digest().readBigUInt64BE(0);
+  }
+
   /** The digest; equal for equal sets of rows. */
   get text(): string {
     return this.#sum.toString(16).padStart(DIGEST_BYTES * 2, "0");
   }
 }
-
-function hashRow({ key, version, value }: FeedRow): bigint {
-  const digest = createHash("sha256").update(`${key}\n${version}\n`)
-    .update(value).digest();
-  return digest.readBigUInt64BE(0);
-}
--- a/packages/forwarding/src/state/table_replica.ts
+++ b/packages/forwarding/src/state/table_replica.ts
@@ -115,7 +115,7 @@
   readonly #options: TableReplicaOptions;
   readonly #isLater: (row: FeedRow, other: FeedRow) => boolean;
   readonly #rows = new Map<string, FeedRow>();
-  readonly #digest = new RowDigest();
+  #digest = new RowDigest();
   #version = -1;
   /** Undefined until the table was read. */
   #era: number | undefined;
@@ -165,7 +165,7 @@
       !this.#options.isPolling();
   }
 
-  /** A digest of the rows; equal for equal rows. */
+  /** A digest of the rows; equal for equal rows of the same era. */
   get digest(): string {
     return this.#digest.text;
   }
@@ -235,9 +235,8 @@
 
   /** Records that these rows are complete up to a newer position. */
   confirmPosition(position: TablePosition): void {
-    if (this.#version >= 0 && comparePositions(position, this) > 0) {
-      this.#startEra(position.era);
-      this.#version = position.version;
+    if (this.#version >= 0 && position.era === this.era) {
+      this.#version = Math.max(this.#version, position.version);
     }
   }
 
@@ -478,8 +477,8 @@
   #applyChanges(
     changes: Pick<TableUpdate, "rows" | "removedKeys" | "version" | "era">,
   ): void {
-    const isRestored = this.#startEra(changes.era);
     const digestBefore = this.digest;
+    const isRestored = this.#startEra(changes.era);
     const changedRows = isRestored
       ? this.#listRestored(changes.rows)
       : changes.rows.filter((row) => this.#isNewer(row));
@@ -519,7 +518,11 @@
   /** Returns whether rows of a former era were read before. */
   #startEra(era: number): boolean {
     const isRestored = this.#era !== undefined && era > this.#era;
-    this.#era = Math.max(this.#era ?? era, era);
+    if (this.#era === undefined || isRestored) {
+      this.#era = era;
+      this.#digest = new RowDigest(era > 0);
+      this.#rows.forEach((row) => this.#digest.add(row));
+    }
     if (isRestored) {
       this.eraChanges.emit();
     }
