Write no row for a VM that leaves while the store comes back

What callers saw: nothing; found by reading. A VM that removes its row from the VM list, and had been about to write it again after the store's return, wrote it after the removal; others then tried to reach it until its row was removed as silent.

Change: once it has left, it writes no row. No test: the window is 1.5 s, and what it leaves behind is removed by the followers.

--- a/packages/forwarding/src/fleet/vm_list.ts
+++ b/packages/forwarding/src/fleet/vm_list.ts
@@ -48,6 +48,7 @@
   readonly #missedReads = new Map<VmId, number>();
   #size: number | undefined;
   #isRewriteRequested = false;
+  #hasLeft = false;
   #wait: ChildAbort | undefined;
 
   constructor(options: VmListOptions) {
@@ -93,11 +94,14 @@
       signal,
     );
     this.#isRewriteRequested = false;
-    await this.#retry(() => this.#writeSelf(signal), signal);
+    if (!this.#hasLeft) {
+      await this.#retry(() => this.#writeSelf(signal), signal);
+    }
   }
 
   /** Removes this VM from the list. */
   async removeSelf(signal: AbortSignal): Promise<void> {
+    this.#hasLeft = true;
     await this.#removeRow(this.#options.self.vm, signal);
   }
 
