Limit what the address of readiness and metrics takes of a VM

Callers saw: a few connections to that address, which send requests or a body without end, or nothing, take the memory and the descriptors of the VM.

Cause: the listener had no limit on connections, began all requests of a connection whatever was read of the answers, and read the body of a request to its end, which may not come.

Change: ConnectionLimit keeps 16 connections, and closes the one that has been without a request for longest, so that a load balancer always gets a new one in. A connection that sends a request before the former one is answered is closed, and so is one whose request has a body, after its answer.

--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -14,6 +14,7 @@
 export { RandomSource } from "./common/random.ts";
 export { computePairScore, hashText } from "./common/text_hash.ts";
 export { type DeadlineOptions, runWithDeadline } from "./common/timeout.ts";
+export { ConnectionLimit } from "./node/connection_limit.ts";
 export {
   createBufferedLogger,
   createLogger,
--- a/packages/forwarding/src/ingress/readiness_server.ts
+++ b/packages/forwarding/src/ingress/readiness_server.ts
@@ -1,7 +1,14 @@
 /** The HTTP server for the load balancer's readiness checks and metrics. */
 
 import { once } from "node:events";
-import { createServer, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { ConnectionLimit } from "@rattanvane/base";
 import type { Registry } from "prom-client";
 import type { ListenAddress } from "../forwarding_settings.ts";
 
@@ -9,6 +16,8 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
 const METRICS_PATH = "/metrics";
+/** Load balancers and those who read metrics need a few at a time. */
+const MAX_CONNECTIONS = 16;
 
 /** The address, path and data sources of a {@link ReadinessServer}. */
 export interface ReadinessServerOptions {
@@ -19,16 +28,34 @@
   registry: Registry;
 }
 
-/** Serves readiness and metrics on an address apart from the callers'. */
+/**
+ * Serves readiness and metrics on an address apart from the callers'. A request
+ * is answered before the next one of its connection is read; one with a body
+ * ends its connection.
+ */
 export class ReadinessServer {
   readonly #options: ReadinessServerOptions;
   readonly #server: Server;
+  readonly #connections = new ConnectionLimit(MAX_CONNECTIONS);
 
   constructor(options: ReadinessServerOptions) {
     this.#options = options;
     this.#server = createServer((request, response) => {
+      if (response.socket === null) {
+        // Behind a request that is not answered yet.
+        request.socket.destroy();
+        return;
+      }
+      this.#connections.add(request.socket);
+      if (hasBody(request)) {
+        response.setHeader("connection", "close");
+      }
       void this.#handle(request.url ?? "/", response);
     });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => this.#connections.add(socket),
+    );
   }
 
   /** Listens until the signal aborts; rejects when the port is in use. */
@@ -59,3 +86,8 @@
     response.end(`${obstacle ?? "ready"}\n`);
   }
 }
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
