Limit the peers that have not shown the fleet key yet

Callers saw: connections to the control address on which nothing, or a part of a frame, is sent take the descriptors of the VM, one after the other for three seconds each.

Cause: only the time of a handshake was limited, not how many there are.

Change: PeerNetwork keeps 128 connections before authentication, or 5 % of the VM's connections (at least 8), and closes the oldest. Connections of peers that have shown the key do not count.

--- a/packages/forwarding/src/fleet/fleet_control.ts
+++ b/packages/forwarding/src/fleet/fleet_control.ts
@@ -57,6 +57,11 @@
   slowProbePeriodMilliseconds: 2_000,
 };
 
+/** The part of a VM's connections for peers that are not authenticated yet. */
+const HANDSHAKES_FRACTION = 0.05;
+const MIN_HANDSHAKES = 8;
+const MAX_HANDSHAKES = 128;
+
 /** Minimum time between two messages about the zone to the same VM. */
 const ZONE_INTERVAL_MILLISECONDS = 350;
 /**
@@ -362,6 +367,7 @@
       listen: settings.control,
       fleetKeys: settings.fleetKeys,
       logger: logger.forPart("protocol"),
+      maxHandshakes: computeMaxHandshakes(settings),
       receive,
     });
   }
@@ -530,3 +536,10 @@
     });
   }
 }
+
+/** Computes how many peers of a VM may be without authentication. */
+function computeMaxHandshakes({ machine }: ForwardingSettings): number {
+  const available = machine?.connections ?? Infinity;
+  const part = Math.floor(available * HANDSHAKES_FRACTION);
+  return Math.min(MAX_HANDSHAKES, Math.max(MIN_HANDSHAKES, part));
+}
--- a/packages/protocol/src/peer_network.ts
+++ b/packages/protocol/src/peer_network.ts
@@ -5,6 +5,7 @@
 import {
   ChildAbort,
   type Clock,
+  ConnectionLimit,
   describeError,
   Emitter,
   type Logger,
@@ -17,6 +18,8 @@
 import { type LinkEnvironment, OutgoingLink } from "./outgoing_link.ts";
 import type { ReturnChannel } from "./return_channel.ts";
 
+const DEFAULT_MAX_HANDSHAKES = 128;
+
 /** Dependencies and settings of a router's connections. */
 export interface PeerNetworkOptions {
   /** The addresses at which other VMs reach this one. */
@@ -28,6 +31,11 @@
   clock: Clock;
   random: RandomSource;
   logger: Logger;
+  /**
+   * Incoming connections whose peers are not authenticated yet; one more closes
+   * the oldest of them. 128 by default.
+   */
+  maxHandshakes?: number | undefined;
   /** Handles every received message; errors that it throws are logged. */
   receive: (from: VmId, message: Message) => void;
 }
@@ -79,6 +87,7 @@
   readonly #channels = new Map<VmId, ReturnChannel>();
   readonly #environment: LinkEnvironment;
   readonly #server: Server;
+  readonly #handshakes: ConnectionLimit;
   #signal: AbortSignal = AbortSignal.abort();
 
   constructor(options: PeerNetworkOptions) {
@@ -110,6 +119,9 @@
       },
       receive: (from, message) => this.#deliver(from, message),
     };
+    this.#handshakes = new ConnectionLimit(
+      options.maxHandshakes ?? DEFAULT_MAX_HANDSHAKES,
+    );
     this.#server = createServer((socket) => this.#acceptSocket(socket));
   }
 
@@ -176,12 +188,16 @@
   }
 
   #acceptSocket(socket: Socket): void {
+    this.#handshakes.add(socket);
     runIncomingConnection(socket, {
       self: this.#options.self.vm,
       fleetKeys: this.#options.fleetKeys,
       clock: this.#options.clock,
       logger: this.#options.logger,
-      accept: (dialer) => this.registerContact(dialer),
+      accept: (dialer) => {
+        this.#handshakes.remove(socket);
+        this.registerContact(dialer);
+      },
       receive: (from, message) => this.#deliver(from, message),
       open: (dialer, channel) => this.#openChannel(dialer, channel),
       close: (dialer, channel) => this.#closeChannel(dialer, channel),
