Limit the memory for prompt parts that engines have cached

Callers saw: all requests of a VM broken off, again and again, while prompts of many small parts reached it ("JavaScript heap out of memory").

Cause: PromptCacheMap keeps each shared part that was sent to an engine and bounds the sum of their tokens, not what they take of the VM. With parts of one token an engine of 374,201 tokens allows 260,000 of them, and parts that state no tokens were never evicted. An id of 13 characters or more also kept the whole header that it was cut from.

Change: the parts of a service take 12 MiB at most, in equal parts for its engines; the least recently used are forgotten. That is 100 bytes and the id for each part, about 110,000 parts. Long ids are copied.

--- a/packages/forwarding/src/scheduling/prompt_cache_map.ts
+++ b/packages/forwarding/src/scheduling/prompt_cache_map.ts
@@ -1,5 +1,6 @@
 /** Estimates which prompt parts an endpoint has in its cache. */
 
+import { Buffer } from "node:buffer";
 import type { Prompt, PromptPart } from "../model/call.ts";
 
 /**
@@ -7,31 +8,67 @@
  * evicted, least recently used first.
  */
 const TRACKED_MEMORY_FRACTION = 0.7;
+/** What a part takes of this VM's memory, besides its id. */
+const PART_BYTES = 100;
+/** V8 makes a part of another text of one that has this length or more. */
+const MIN_SLICE_LENGTH = 13;
 
-/** The prompt parts sent to one endpoint, most recently used last. */
+/** What the parts of one endpoint may take. */
+export interface PromptCacheLimits {
+  /** The tokens that the endpoint's memory holds. */
+  memoryTokens: number;
+  /** The memory of this VM, in bytes; no limit by default. */
+  maxBytes?: number;
+}
+
+/**
+ * The prompt parts sent to one endpoint, most recently used last.
+ *
+ * Load: prompts of many parts of a few tokens each.
+ */
 export class PromptCacheMap {
   readonly #parts = new Map<string, number>();
   #tokens = 0;
+  #bytes = 0;
+
+  /** An estimate of the memory that the parts take. */
+  get bytes(): number {
+    return this.#bytes;
+  }
 
   /** Removes all parts, as a restart clears the endpoint's cache. */
   clear(): void {
     this.#parts.clear();
     this.#tokens = 0;
+    this.#bytes = 0;
   }
 
   /** Records that the endpoint processes the shared parts of a prompt. */
-  record(prompt: Prompt, memoryTokens: number): void {
-    for (const part of listSharedParts(prompt)) {
-      this.#tokens += part.tokens - (this.#parts.get(part.id) ?? 0);
-      this.#parts.delete(part.id);
-      this.#parts.set(part.id, part.tokens);
+  record(
+    prompt: Prompt,
+    { memoryTokens, maxBytes = Infinity }: PromptCacheLimits,
+  ): void {
+    for (const { id, tokens } of listSharedParts(prompt)) {
+      this.#remove(id);
+      this.#parts.set(copyLongText(id), tokens);
+      this.#tokens += tokens;
+      this.#bytes += PART_BYTES + id.length;
     }
-    for (const [id, tokens] of this.#parts) {
-      if (this.#tokens <= memoryTokens * TRACKED_MEMORY_FRACTION) {
+    const maxTokens = memoryTokens * TRACKED_MEMORY_FRACTION;
+    for (const id of this.#parts.keys()) {
+      if (this.#tokens <= maxTokens && this.#bytes <= maxBytes) {
         return;
       }
+      this.#remove(id);
+    }
+  }
+
+  #remove(id: string): void {
+    const tokens = this.#parts.get(id);
+    if (tokens !== undefined) {
       this.#parts.delete(id);
       this.#tokens -= tokens;
+      this.#bytes -= PART_BYTES + id.length;
     }
   }
 
@@ -63,3 +100,10 @@
 export function findAffinityPart(prompt: Prompt): PromptPart | undefined {
   return prompt.parts.at(-2) ?? prompt.parts.at(0);
 }
+
+/** Copies a text that would keep the header which it is a part of. */
+function copyLongText(text: string): string {
+  return text.length < MIN_SLICE_LENGTH
+    ? text
+    : Buffer.from(text, "utf8").toString("utf8");
+}
--- a/packages/forwarding/src/scheduling/recorded_decisions_test.ts
+++ b/packages/forwarding/src/scheduling/recorded_decisions_test.ts
@@ -63,7 +63,7 @@
     );
     if (typeof choice === "object") {
       const { endpoint, work } = choice;
-      endpoint.cache.record(prompt, 30_000);
+      endpoint.cache.record(prompt, { memoryTokens: 30_000 });
       const attempt = endpoint.addAttempt(work);
       const endsAt = clock.now() + random.nextInteger(20, 400);
       running.push({ choice, attempt, endsAt });
--- a/packages/forwarding/src/scheduling/service_scheduler.ts
+++ b/packages/forwarding/src/scheduling/service_scheduler.ts
@@ -45,6 +45,9 @@
  */
 const PEER_NOTIFICATION_MIN_TOKENS = 3_000;
 
+/** The memory for the prompt parts that the endpoints probably have cached. */
+const MAX_CACHE_BYTES = 12 * 1024 * 1024;
+
 /** Permission to send a request to an endpoint. */
 export interface Grant {
   endpoint: EndpointState;
@@ -568,7 +571,10 @@
     this.#options.versions?.recordAttempt(endpoint.record.version ?? "");
     if (call.identity.prompt !== undefined) {
       const memoryTokens = this.#options.service.engine?.memoryTokens ?? 0;
-      endpoint.cache.record(call.identity.prompt, memoryTokens);
+      endpoint.cache.record(call.identity.prompt, {
+        memoryTokens,
+        maxBytes: MAX_CACHE_BYTES / Math.max(1, this.#endpoints.size),
+      });
     }
     if (call.organisation !== undefined) {
       this.#options.shares.recordGranted(call.organisation, computeCost(call));
