Begin few requests of a connection at a time

Callers saw: a few connections that send small requests without waiting for answers fill the memory of a VM, or, when they read the answers, keep it so busy that no ordinary request is answered.

Cause: Node.js parses all that one read has brought (64 KiB, 1,400 requests of 46 bytes) and hands each request over; each was begun at once. Nothing but unread output stops the reading.

Change: RequestTurns begins four requests behind the first one of a connection. The others wait in order, are counted in the memory for callers (8 KiB each), and the connection is not read on meanwhile. One with more than 128 that wait is closed: none of these has run.

The two unit tests failed before: 60 requests of a connection were begun at a time, and a connection with 200 stayed open.

--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -28,6 +28,7 @@
 import { type ConnectionEvent, IngressLoad } from "./ingress_load.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 import { PiecePace } from "./piece_pace.ts";
+import { RequestTurns, waitForClose } from "./request_turns.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const RETRY_AFTER_MILLISECONDS = 300;
@@ -155,6 +156,7 @@
   readonly #maxKeptConnections: number;
   readonly #intake: IntakeQueue;
   readonly #pace: PiecePace;
+  readonly #turns: RequestTurns;
   readonly #load: IngressLoad;
   readonly #relay: ConnectionRelay;
   readonly #acceptQueue: AcceptQueueMonitor;
@@ -179,6 +181,7 @@
       clock: options.clock,
       piecesPerSecond: MAX_PIECES_PER_SECOND,
     });
+    this.#turns = new RequestTurns(options.memory);
     this.#load = new IngressLoad({
       ...options,
       countWaiting: () => this.#intake.waiting,
@@ -316,6 +319,12 @@
     response: ServerResponse,
   ): Promise<void> {
     const receivedAt = this.#options.clock.now();
+    this.#active++;
+    const isBehind = response.socket === null;
+    if (isBehind && !await this.#turns.wait(request, response)) {
+      this.#active--;
+      return;
+    }
     this.#load.recordRequest(request.socket);
     const share = this.#options.memory.createShare(
       () => request.socket.remoteAddress,
@@ -324,7 +333,6 @@
       shouldClose: (isRefused) => this.#shouldClose(isRefused),
       share,
     });
-    this.#active++;
     waitForClose(response, () => {
       this.#active--;
       share.close();
@@ -485,26 +493,6 @@
   }
 }
 
-/**
- * Calls back when a response has ended, or its connection. Node.js does not tell
- * a response that waits behind another one of the end of their connection.
- */
-function waitForClose(response: ServerResponse, callback: () => void): void {
-  if (response.socket !== null) {
-    response.once("close", callback);
-    return;
-  }
-  const { socket } = response.req;
-  const finish = () => {
-    socket.off("close", finish);
-    response.off("close", finish);
-    callback();
-  };
-  socket.setMaxListeners(0);
-  socket.once("close", finish);
-  response.once("close", finish);
-}
-
 /** Leaves descriptors for the connections to endpoints and peers. */
 function computeMaxConnections(available: number): number {
   const others = Math.min(
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -28,11 +28,15 @@
 import { runBusyLoop, SlowDialect } from "../testing/slow_dialect.ts";
 import { TestDialect } from "../testing/test_dialect.ts";
 import { CallReader } from "./call_reader.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
 import { ConnectionEvent } from "./ingress_load.ts";
 import { IngressServer, type IngressServerOptions } from "./ingress_server.ts";
 
 const CALLERS = 20;
 const PIPELINED = 3;
+const MANY_PIPELINED = 100;
+/** The first one, and those that are begun behind it. */
+const MAX_BEGUN_OF_CONNECTION = 5;
 const SETTLING_MILLISECONDS = 300;
 /** Longer than a connection that is refused unread may stay open. */
 const REJECTED_BODY_MILLISECONDS = 4_000;
@@ -186,6 +190,63 @@
     lifetime.abort();
   });
 
+  // Requests that one connection sent without end filled the memory of a VM.
+  it("begins few requests of a connection at a time, in order, and all in the end", async () => {
+    const lifetime = new AbortController();
+    const port = await findFreePort();
+    const begun: string[] = [];
+    const answers: CallerAnswer[] = [];
+    let most = 0;
+    const server = createIngress(port, {
+      listPeers: () => [],
+      serve: (call, answer) => {
+        begun.push(call.identity.request);
+        answers.push(answer);
+        most = Math.max(most, answers.length);
+        return Promise.resolve();
+      },
+    });
+    await server.start(lifetime.signal);
+    const socket = connect(port, HOST);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    const ids = Array.from(
+      { length: MANY_PIPELINED },
+      (_, index) => `${index}`,
+    );
+    socket.write(ids.map(buildRequest).join(""));
+    while (begun.length < ids.length) {
+      await waitUntil(() => answers.length > 0);
+      answers.shift()?.sendLocal({ status: 200, reason: "served" });
+    }
+    answers.forEach((answer) =>
+      answer.sendLocal({ status: 200, reason: "served" })
+    );
+    await waitUntil(() => received.split("HTTP/1.1 200").length > ids.length);
+    socket.destroy();
+    expect(begun).to.deep.equal(ids);
+    expect(most).to.be.at.most(MAX_BEGUN_OF_CONNECTION);
+    await waitUntil(() => server.active === 0);
+    lifetime.abort();
+  });
+
+  it("closes a connection with too many requests that wait", async () => {
+    const lifetime = new AbortController();
+    const port = await findFreePort();
+    const server = createIngress(port, {
+      listPeers: () => [],
+      serve: () => Promise.resolve(),
+    });
+    await server.start(lifetime.signal);
+    const socket = connect(port, HOST);
+    socket.on("error", () => socket.destroy());
+    const isClosed = once(socket, "close");
+    socket.write(buildRequest("endless").repeat(2 * MANY_PIPELINED));
+    await isClosed;
+    await waitUntil(() => server.active === 0);
+    lifetime.abort();
+  });
+
   // Callers whose first packet is discarded hear nothing for a second or more.
   it("answers a burst of callers while they wait, with a longer queue", async () => {
     const peer = createHttpServer((_request, response) => response.end());
