Divide one memory budget, and pass long answers on while they arrive

Callers saw: answers of some MB that many read slowly or not at all end a VM, and with it all other requests there.

Cause: answers were collected whole (32 MiB in all, on a VM of any size) and then counted again for their callers (a sixth of the memory), whatever the process takes at rest. A stream whose caller does not read is not read on, and what the kernel had accepted of it by then, 0.66 MB for each connection here, counts toward the machine's memory and was counted nowhere.

With half of it in use, an answer of more than 256 KiB is passed on while it arrives, no faster than its caller reads; until then answers are collected whole as before, which frees their endpoints at once. Answers of a failure are held, since another endpoint may replace them. A connection that is not read on counts as what was read of it, at most 512 KiB.

Ruled out: passing on every long answer. Callers that do not read would hold the slots of endpoints also where memory is there.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -17,6 +17,7 @@
 import { FleetState } from "./state/fleet_state.ts";
 import type { RowDecoder } from "./state/row_decoder.ts";
 import type { ForwardingSettings } from "./forwarding_settings.ts";
+import { computeMemoryBudget } from "./ingress/memory_budget.ts";
 import { AnswerMemory } from "./ingress/answer_memory.ts";
 import { CallerMemory } from "./ingress/caller_memory.ts";
 import { CallReader, RejectionKind } from "./ingress/call_reader.ts";
@@ -53,12 +54,6 @@
 const FORCED_CLOSE_MARGIN_MILLISECONDS = 600;
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 20;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** A fraction of the memory of a small VM, which has 178 MB in all. */
-const MAX_HELD_ANSWER_BYTES = 32 * 1024 * 1024;
-/** The part of a VM's memory for bodies and for answers that wait. */
-const CALLER_MEMORY_FRACTION = 1 / 6;
-/** Applies where the memory of the VM is not known. */
-const DEFAULT_CALLER_MEMORY_BYTES = 32 * 1024 * 1024;
 /** Margin between the maximum age of key data and the revocation bound. */
 const REVOCATION_MARGIN_MILLISECONDS = 400;
 
@@ -91,7 +86,7 @@
   readonly #crashes: CrashTracker;
   readonly #fleet: FleetControl;
   readonly #transport: EndpointTransport;
-  readonly #answerMemory = new AnswerMemory(MAX_HELD_ANSWER_BYTES);
+  readonly #answerMemory: AnswerMemory;
   readonly #callerMemory: CallerMemory;
   readonly #limits: EndpointLimits;
   readonly #pauses: EndpointPauses;
@@ -223,8 +218,10 @@
       listSchedulers: () => this.#services.listSchedulers(),
       adoptAttempt: (endpoint) => this.#services.adoptAttempt(endpoint),
     }, signal);
+    const budget = computeMemoryBudget(settings.machine ?? {});
+    this.#answerMemory = new AnswerMemory(budget.answerBytes);
     this.#callerMemory = new CallerMemory({
-      maxBytes: computeCallerBytes(settings),
+      maxBytes: budget.callerBytes,
       clock,
       logger: logger.forPart("ingress"),
       countRelease: (kind) => this.#metrics.recordReleasedCaller(kind),
@@ -516,14 +513,6 @@
   }
 }
 
-function computeCallerBytes({ machine }: ForwardingSettings): number {
-  const { memoryBytes, callerBytes } = machine ?? {};
-  return callerBytes ??
-    (memoryBytes === undefined
-      ? DEFAULT_CALLER_MEMORY_BYTES
-      : memoryBytes * CALLER_MEMORY_FRACTION);
-}
-
 async function waitForAbort(signal: AbortSignal): Promise<void> {
   if (signal.aborted) {
     return;
--- a/packages/forwarding/src/forwarding_settings.ts
+++ b/packages/forwarding/src/forwarding_settings.ts
@@ -34,7 +34,7 @@
 /** What the machine of a VM has; undefined where it is not known. */
 export interface MachineLimits {
   memoryBytes?: number | undefined;
-  /** The part of it for bodies and answers of callers; a sixth by default. */
+  /** What bodies and answers of callers may hold; a part of it by default. */
   callerBytes?: number | undefined;
   /** Descriptors for connections. */
   connections?: number | undefined;
--- a/packages/forwarding/src/ingress/answer_memory.ts
+++ b/packages/forwarding/src/ingress/answer_memory.ts
@@ -28,6 +28,11 @@
     return this.#bytes;
   }
 
+  /** Whether half of the limit is in use. */
+  get isContested(): boolean {
+    return this.#bytes > this.#maxBytes / 2;
+  }
+
   /** Counts the bytes of an answer anew; may give up this or another one. */
   update(answer: HeldAnswer): void {
     const { heldBytes } = answer;
--- a/packages/forwarding/src/ingress/attempt_run.ts
+++ b/packages/forwarding/src/ingress/attempt_run.ts
@@ -34,6 +34,11 @@
 const STATUS_UNAVAILABLE = 503;
 /** No service sends longer answers than this, except as streams. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/**
+ * A longer answer is passed on while it arrives if memory is short. What is
+ * passed on can no longer be replaced by the answer of another endpoint.
+ */
+const MAX_WHOLE_BYTES = 256 * 1024;
 /** Applies to a stream, whose length is not limited otherwise. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -86,6 +91,9 @@
   /** The endpoint reports that it is about to shut down. */
   #isLeaving = false;
   #isStream = false;
+  /** Whether a part of an answer that is not a stream was passed on. */
+  #isPassedOn = false;
+  #passedOnBytes = 0;
   #firstMilliseconds: number | undefined;
   #lastEventAt = 0;
   #longestPauseMilliseconds = 0;
@@ -176,14 +184,61 @@
       return;
     }
     this.#recordFirstByte();
-    if (this.#body.length + chunk.length > MAX_ANSWER_BYTES) {
+    const length = this.#passedOnBytes + this.#body.length + chunk.length;
+    if (length > MAX_ANSWER_BYTES) {
       this.#rejectAnswer("The answer exceeds the size limit");
       return;
     }
+    if (this.#isPassedOn) {
+      this.#passOn(chunk);
+      return;
+    }
     this.#body.append(chunk);
+    if (this.#mayPassOn()) {
+      this.#startPassingOn();
+    }
     this.#countBytes();
   }
 
+  /** Answers that tell of a failure are held until they are replaced or sent. */
+  #mayPassOn(): boolean {
+    const { answer, call, memory } = this.#options;
+    return this.#body.length > MAX_WHOLE_BYTES &&
+      (memory.isContested || answer.isMemoryContested) &&
+      !isStreamed(call) && !this.#isRefusal &&
+      this.#status < STATUS_SERVER_FAILURE;
+  }
+
+  #startPassingOn(): void {
+    const { answer, claimAnswer } = this.#options;
+    if (claimAnswer?.() === false) {
+      this.#control?.cancel();
+      this.#finish(OutcomeKind.Stopped, "another attempt has answered");
+      return;
+    }
+    this.#isPassedOn = true;
+    answer.beginParts(this.#status, this.#headers);
+    this.#passOn(this.#body.take());
+  }
+
+  #passOn(bytes: Uint8Array): void {
+    this.#passedOnBytes += bytes.length;
+    this.#write(bytes);
+  }
+
+  /** Writes to the caller, and reads no more while it does not. */
+  #write(bytes: Uint8Array): void {
+    const { answer } = this.#options;
+    if (!answer.write(bytes)) {
+      this.#control?.pause();
+      answer.waitForDrain(() => this.#control?.resume());
+    }
+  }
+
+  get #isRefusal(): boolean {
+    return this.#isNotRun || this.#status === STATUS_WRONG_INSTANCE;
+  }
+
   override end(): void {
     if (this.#isFinished) {
       return;
@@ -192,6 +247,11 @@
       this.#endStream();
       return;
     }
+    if (this.#isPassedOn) {
+      this.#options.answer.endStream();
+      this.#finish(OutcomeKind.Answered, `status ${this.#status}`);
+      return;
+    }
     this.#finishWholeAnswer();
   }
 
@@ -278,10 +338,7 @@
     if (!answer.hasBegun) {
       answer.beginStream(this.#status, this.#headers);
     }
-    if (!answer.write(events)) {
-      this.#control?.pause();
-      answer.waitForDrain(() => this.#control?.resume());
-    }
+    this.#write(events);
   }
 
   /** Updates the memory of answers, which may give this one up. */
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -6,7 +6,11 @@
   type CompleteAnswer,
 } from "../model/attempt_outcome.ts";
 import type { AnswerHeaders } from "../model/dialect.ts";
-import { type CallerShare, HeldKind } from "./caller_memory.ts";
+import {
+  type CallerShare,
+  computeUnreadBytes,
+  HeldKind,
+} from "./caller_memory.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const STATUS_UNAVAILABLE = 503;
@@ -40,6 +44,8 @@
   readonly #shouldClose: (isRefused: boolean) => boolean;
   readonly #share: CallerShare;
   #streamType: string | string[] | undefined;
+  /** The bytes that were written in parts. */
+  #writtenBytes = 0;
 
   /**
    * `shouldClose` is asked with each answer whether its connection is to be
@@ -139,17 +145,43 @@
     this.#response.writeHead(status, this.#collectHeaders(headers));
   }
 
+  /**
+   * Starts an answer that is passed on while it arrives. It keeps its length; one
+   * without is sent in chunks, like a stream.
+   */
+  beginParts(status: number, headers: AnswerHeaders): void {
+    const collected = this.#collectHeaders(headers);
+    const length = headers["content-length"];
+    if (length !== undefined) {
+      collected["content-length"] = length;
+    }
+    this.#response.writeHead(status, collected);
+  }
+
+  /** Whether half of the memory for callers is in use. */
+  get isMemoryContested(): boolean {
+    return this.#share.isMemoryContested;
+  }
+
   /** Whether an answer with these headers may go on with the begun stream. */
   mayContinueWith(headers: AnswerHeaders): boolean {
     const type = headers["content-type"];
     return !this.hasBegun || type === undefined || type === this.#streamType;
   }
 
-  /** Writes a chunk of a stream; false signals backpressure by the caller. */
+  /**
+   * Writes a chunk of a stream; false signals backpressure by the caller. The
+   * connection to the endpoint is not read on then, and counts with its bytes.
+   */
   write(chunk: Uint8Array): boolean {
     const isTaken = this.#response.write(chunk);
+    this.#writtenBytes += chunk.length;
+    const unread = isTaken ? 0 : computeUnreadBytes(this.#writtenBytes);
     this.#share.release ??= () => this.#resetConnection();
-    this.#share.update(HeldKind.Answer, this.#response.writableLength);
+    this.#share.update(
+      HeldKind.Answer,
+      this.#response.writableLength + unread,
+    );
     return isTaken;
   }
 
--- a/packages/forwarding/src/ingress/caller_memory.ts
+++ b/packages/forwarding/src/ingress/caller_memory.ts
@@ -14,6 +14,17 @@
 /** More lines in an interval are counted only. */
 const MAX_LINES = 10;
 
+/** The most that the kernel is taken to keep for a connection that is paused. */
+const MAX_UNREAD_BYTES = 512 * 1024;
+
+/**
+ * Estimates what the kernel keeps of a connection that is not read on: it
+ * accepts the more, the more was read of the connection before.
+ */
+export function computeUnreadBytes(receivedBytes: number): number {
+  return Math.min(MAX_UNREAD_BYTES, receivedBytes);
+}
+
 /** What bytes are held for. */
 export enum HeldKind {
   /** The body of a request, until the request ends. */
@@ -87,6 +98,11 @@
     return this.#bytes[HeldKind.Body] + this.#bytes[HeldKind.Answer];
   }
 
+  /** Whether half of the memory for callers is in use. */
+  get isMemoryContested(): boolean {
+    return this.#memory.isContested;
+  }
+
   /** What most of the bytes are held for. */
   get kind(): HeldKind {
     return this.#bytes[HeldKind.Answer] > this.#bytes[HeldKind.Body]
@@ -151,6 +167,11 @@
     return this.#held.total;
   }
 
+  /** Whether half of the limit is in use. */
+  get isContested(): boolean {
+    return this.bytes > this.#options.maxBytes / 2;
+  }
+
   /** Creates an empty share for a request; its owner closes it. */
   createShare(readCaller: () => string | undefined): CallerShare {
     const now = this.#options.clock.now();
