Count what waits in connections that are passed on to another VM

Callers saw: a VM that passes connections on exceeds its memory and its descriptors, although the VM behind them serves few of them.

Cause: 128 connections could be passed on, whatever the descriptors of the VM; each takes a second one. What a caller does not take waits in the kernel's buffer of that second connection, and was counted nowhere.

Change: 128, or 15 % of the descriptors for connections. What waits in both directions counts in the memory for callers, and a connection that makes no progress is reset when that is used up.

--- a/packages/forwarding/src/ingress/connection_relay.ts
+++ b/packages/forwarding/src/ingress/connection_relay.ts
@@ -9,10 +9,14 @@
   type RandomSource,
 } from "@rattanvane/base";
 import type { VmContact } from "@rattanvane/protocol";
+import {
+  type CallerMemory,
+  type CallerShare,
+  computeUnreadBytes,
+  HeldKind,
+} from "./caller_memory.ts";
 import { RelayTargets } from "./relay_targets.ts";
 
-/** Bounds the processor time and the descriptors that relaying takes. */
-const DEFAULT_MAX_CONNECTIONS = 128;
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /** A caller that sends no request line for this long is disconnected. */
 const REQUEST_LINE_TIMEOUT_MILLISECONDS = 1_000;
@@ -40,8 +44,10 @@
   listPeers: () => readonly VmContact[];
   /** Lists VMs of other zones; unset to choose in this zone at random. */
   listOtherZones?: (() => readonly VmContact[]) | undefined;
-  /** Connections that may be passed on at a time; unset for the default. */
-  maxConnections?: number;
+  /** Connections that may be passed on at a time. */
+  maxConnections: number;
+  /** Counts what is held of connections that are passed on. */
+  memory: CallerMemory;
   /** Refuses a connection from which these bytes were read. */
   refuse: (socket: Socket, received: string) => void;
 }
@@ -64,7 +70,7 @@
   constructor(options: ConnectionRelayOptions) {
     this.#options = options;
     this.#targets = new RelayTargets(options);
-    this.#maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+    this.#maxConnections = options.maxConnections;
   }
 
   /** The number of connections that are passed on. */
@@ -151,6 +157,7 @@
         isAnswered = true;
         this.#targets.recordAnswer(peer.vm, isRefusal(chunk));
       });
+      this.#countBytes(socket, upstream);
       socket.pipe(upstream);
       upstream.pipe(socket, { end: false });
     });
@@ -178,6 +185,19 @@
     socket.once("end", () => startCloseTimeout(socket));
   }
 
+  /** Counts what waits at this VM in both directions. */
+  #countBytes(socket: Socket, upstream: Socket): void {
+    const share = this.#options.memory.createShare(() => socket.remoteAddress);
+    share.release = () => socket.resetAndDestroy();
+    socket.once("close", () => share.close());
+    const update = () => updateShare(share, socket, upstream);
+    for (const each of [socket, upstream]) {
+      // Called before what has arrived is passed on, and after it was taken.
+      each.on("data", () => queueMicrotask(update));
+      each.on("drain", update);
+    }
+  }
+
   #recordFailure({ vm }: VmContact, error: Error): void {
     if (this.#targets.recordFailure(vm)) {
       this.#options.logger.info(
@@ -191,6 +211,21 @@
   }
 }
 
+function updateShare(
+  share: CallerShare,
+  socket: Socket,
+  upstream: Socket,
+): void {
+  share.update(HeldKind.Body, sumWaitingBytes(socket, upstream));
+  share.update(HeldKind.Answer, sumWaitingBytes(upstream, socket));
+}
+
+/** Sums what was received from one connection and not taken by the other. */
+function sumWaitingBytes(from: Socket, to: Socket): number {
+  return to.writableLength +
+    (to.writableNeedDrain ? computeUnreadBytes(from.bytesRead) : 0);
+}
+
 /** Whether the first bytes of an answer are those of a refused request. */
 function isRefusal(chunk: Uint8Array): boolean {
   const start = Buffer.from(chunk.subarray(0, REFUSAL_START.length));
--- a/packages/forwarding/src/ingress/connection_relay_test.ts
+++ b/packages/forwarding/src/ingress/connection_relay_test.ts
@@ -16,12 +16,14 @@
 import { afterEach, describe, it } from "mocha";
 import { runRelays } from "../testing/simulated_relays.ts";
 import { waitUntil } from "../testing/router_harness.ts";
+import { createCallerMemory } from "../testing/fixtures.ts";
 import { sendConnectionRefusal } from "./connection_refuser.ts";
 import {
   ConnectionRelay,
   type ConnectionRelayOptions,
 } from "./connection_relay.ts";
 
+const MAX_RELAYS = 128;
 const HOST = "127.0.0.1";
 const HEAD = "POST /a/x HTTP/1.1\r\nHost: one.example\r\n" +
   "Content-Length: 4\r\n\r\n";
@@ -66,6 +68,8 @@
     host: HOST,
     listPeers: () => [contact],
     refuse: (socket, received) => sendConnectionRefusal(socket, received),
+    maxConnections: MAX_RELAYS,
+    memory: createCallerMemory(),
     ...changes,
   });
   const started: boolean[] = [];
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -48,6 +48,12 @@
 const OTHER_CONNECTIONS_FRACTION = 0.25;
 /** How often connections are checked for heads that are overdue. */
 const HEAD_CHECK_MILLISECONDS = 1_000;
+/**
+ * Connections that are passed on at a time, which takes processor time, and their
+ * part of the connections to others.
+ */
+const MAX_RELAYS = 128;
+const RELAYS_FRACTION = 0.6;
 /**
  * Connections that are passed on at a time where {@link ConcurrencyLimit} bounds
  * the processor time that they take. Each takes two descriptors.
@@ -215,9 +221,7 @@
       });
     this.#relay = new ConnectionRelay({
       ...options,
-      ...(options.settings === undefined
-        ? {}
-        : { maxConnections: MAX_LIMITED_RELAYS }),
+      maxConnections: computeMaxRelays(options),
       refuse: (socket, received) => {
         this.#load.recordRefusal(socket);
         sendConnectionRefusal(socket, received);
@@ -495,9 +499,24 @@
 
 /** Leaves descriptors for the connections to endpoints and peers. */
 function computeMaxConnections(available: number): number {
-  const others = Math.min(
+  const others = computeOtherConnections(available);
+  return Math.min(MAX_CONNECTIONS, Math.floor(available - others));
+}
+
+/** The second connection of each that is passed on is one of the others. */
+function computeMaxRelays(
+  { maxConnections = Infinity, settings }: IngressServerOptions,
+): number {
+  const others = computeOtherConnections(maxConnections);
+  return Math.min(
+    settings === undefined ? MAX_RELAYS : MAX_LIMITED_RELAYS,
+    Math.floor(others * RELAYS_FRACTION),
+  );
+}
+
+function computeOtherConnections(available: number): number {
+  return Math.min(
     MAX_OTHER_CONNECTIONS,
     available * OTHER_CONNECTIONS_FRACTION,
   );
-  return Math.min(MAX_CONNECTIONS, Math.floor(available - others));
 }
--- a/packages/forwarding/src/testing/simulated_relays.ts
+++ b/packages/forwarding/src/testing/simulated_relays.ts
@@ -15,7 +15,9 @@
 } from "@rattanvane/base";
 import { sendConnectionRefusal } from "../ingress/connection_refuser.ts";
 import { ConnectionRelay } from "../ingress/connection_relay.ts";
+import { createCallerMemory } from "./fixtures.ts";
 
+const MAX_RELAYS = 128;
 const HOST = "127.0.0.1";
 const PEERS = 3;
 const CALLERS = 120;
@@ -81,6 +83,8 @@
     peers.push(await startPeer(random, runs, 0));
   }
   const relay = new ConnectionRelay({
+    maxConnections: MAX_RELAYS,
+    memory: createCallerMemory(),
     clock: new SystemClock(),
     random,
     logger: createSilentLogger(),
