Collect buffers that are no longer used before they fill the memory

Callers saw: a VM over its memory under a crowd whose held bytes are within the budget.

Cause: V8 counts a buffer by the small object that refers to it, and lets 64 MB of buffers become unused before it looks at them, on a machine of 178 MB as well.

--- a/packages/base/src/mod.ts
+++ b/packages/base/src/mod.ts
@@ -14,6 +14,10 @@
 export { RandomSource } from "./common/random.ts";
 export { computePairScore, hashText } from "./common/text_hash.ts";
 export { type DeadlineOptions, runWithDeadline } from "./common/timeout.ts";
+export {
+  BufferCollector,
+  type BufferCollectorOptions,
+} from "./node/buffer_collector.ts";
 export { ConnectionLimit } from "./node/connection_limit.ts";
 export {
   createBufferedLogger,
--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -2,6 +2,7 @@
 
 import { randomInt } from "node:crypto";
 import {
+  BufferCollector,
   type Clock,
   createLifetime,
   describeError,
@@ -88,6 +89,9 @@
   readonly #transport: EndpointTransport;
   readonly #answerMemory: AnswerMemory;
   readonly #callerMemory: CallerMemory;
+  readonly #buffers = new BufferCollector({
+    readHeldBytes: () => this.#callerMemory.bytes + this.#answerMemory.bytes,
+  });
   readonly #limits: EndpointLimits;
   readonly #pauses: EndpointPauses;
   readonly #rollouts: RolloutCoordinator;
@@ -132,7 +136,9 @@
         REVOCATION_MARGIN_MILLISECONDS,
       isPolling: () => this.#fleet.isFollower,
     });
-    this.#transport = new EndpointTransport(settings.callers.host, signal);
+    this.#transport = new EndpointTransport(settings.callers.host, signal, {
+      countReceived: (bytes) => this.#buffers.record(bytes),
+    });
     this.#limits = new EndpointLimits({
       clock,
       logger: logger.forPart("beliefs"),
@@ -386,6 +392,7 @@
       findRejection: (call) => this.#findRejection(call),
       serve: (call, answer, lifetime) => this.#serve(call, answer, lifetime),
       countRejection: (kind) => this.#metrics.recordRejection(kind),
+      countReceived: (bytes) => this.#buffers.record(bytes),
       countConnection: (event) => this.#metrics.recordConnection(event),
       recordTurn: (milliseconds) => this.#metrics.recordTurn(milliseconds),
     });
--- a/packages/forwarding/src/ingress/body_reader.ts
+++ b/packages/forwarding/src/ingress/body_reader.ts
@@ -15,6 +15,8 @@
   /** Counts the body's bytes, also after it was read. */
   share: CallerShare;
   pace: PiecePace;
+  /** Counts bytes as they are received. */
+  countReceived: (bytes: number) => void;
 }
 
 /** Starts and stops reading the connection of a request. */
@@ -47,7 +49,7 @@
  */
 export function readBody(
   request: IncomingMessage,
-  { maxBytes, share, pace }: BodyReaderOptions,
+  { maxBytes, share, pace, countReceived }: BodyReaderOptions,
 ): Promise<Uint8Array | RejectionKind | undefined> {
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
     return Promise.resolve(RejectionKind.BodyTooLong);
@@ -74,6 +76,7 @@
     };
     share.release = () => refuse(RejectionKind.TooManyBytesHeld);
     request.on("data", (chunk: Uint8Array) => {
+      countReceived(chunk.length);
       if (body.length + chunk.length > maxBytes) {
         refuse(RejectionKind.BodyTooLong);
         return;
@@ -101,7 +104,7 @@
  */
 export function settleBody(
   request: IncomingMessage,
-  { maxBytes, pace }: Pick<BodyReaderOptions, "maxBytes" | "pace">,
+  { maxBytes, pace, countReceived }: Omit<BodyReaderOptions, "share">,
 ): void {
   if (request.complete) {
     return;
@@ -117,6 +120,7 @@
   });
   let bytes = 0;
   request.on("data", (chunk: Uint8Array) => {
+    countReceived(chunk.length);
     bytes += chunk.length;
     if (bytes > maxBytes) {
       pace.remove(flow);
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -93,6 +93,12 @@
   current: ConnectionEnd;
 }
 
+/** Optional callbacks of an {@link EndpointTransport}. */
+export interface EndpointTransportOptions {
+  /** Counts bytes of answers as they are received. */
+  countReceived?: (bytes: number) => void;
+}
+
 /** Keeps one connection pool for each address. */
 export class EndpointTransport {
   readonly #endState: EndState = { current: ConnectionEnd.None };
@@ -101,9 +107,15 @@
   readonly #connections: EndpointConnections;
   readonly #localAddress: string;
   readonly #signal: AbortSignal;
+  readonly #countReceived: (bytes: number) => void;
 
   /** Connects from the local address; an abort closes all connections. */
-  constructor(localAddress: string, signal: AbortSignal) {
+  constructor(
+    localAddress: string,
+    signal: AbortSignal,
+    { countReceived = () => {} }: EndpointTransportOptions = {},
+  ) {
+    this.#countReceived = countReceived;
     this.#localAddress = localAddress;
     this.#signal = signal;
     this.#connections = new EndpointConnections({
@@ -126,6 +138,7 @@
       endState: this.#endState,
       clock: this.#clock,
       mayStart: request.mayStart ?? (() => true),
+      countReceived: this.#countReceived,
       findEndOfProcess: () => this.#connections.findEndOfProcess(address),
     });
     const isEmpty = request.body.length === 0;
@@ -223,6 +236,7 @@
   endState: EndState;
   clock: Clock;
   mayStart: () => boolean;
+  countReceived: (bytes: number) => void;
   /** Why the endpoint's process seems to have ended; undefined if it runs. */
   findEndOfProcess: () => Promise<string | undefined>;
 }
@@ -232,6 +246,7 @@
   readonly #receiver: AnswerReceiver;
   readonly #endState: EndState;
   readonly #mayStart: () => boolean;
+  readonly #countReceived: (bytes: number) => void;
   readonly #findEndOfProcess: () => Promise<string | undefined>;
   readonly #pace: AnswerPace;
   #controller: Dispatcher.DispatchController | undefined;
@@ -242,11 +257,13 @@
 
   constructor(
     receiver: AnswerReceiver,
-    { endState, clock, mayStart, findEndOfProcess }: AnswerHandlerOptions,
+    { endState, clock, mayStart, countReceived, findEndOfProcess }:
+      AnswerHandlerOptions,
   ) {
     this.#receiver = receiver;
     this.#endState = endState;
     this.#mayStart = mayStart;
+    this.#countReceived = countReceived;
     this.#findEndOfProcess = findEndOfProcess;
     this.#pace = new AnswerPace(clock);
   }
@@ -299,6 +316,7 @@
     if (this.#isFinished) {
       return;
     }
+    this.#countReceived(chunk.length);
     this.#pace.recordPieces(1, chunk.length);
     this.#keepPace();
     this.#receiver.receive(chunk);
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -150,6 +150,8 @@
     lifetime: AbortController,
   ) => Promise<void>;
   countRejection: (kind: RejectionKind) => void;
+  /** Counts bytes of bodies as they are received. */
+  countReceived: (bytes: number) => void;
   countConnection: (event: ConnectionEvent) => void;
   /** Records the length of a turn of the event loop, in milliseconds. */
   recordTurn: (milliseconds: number) => void;
@@ -414,6 +416,7 @@
       maxBytes: this.#maxBodyBytes,
       share,
       pace: this.#pace,
+      countReceived: this.#options.countReceived,
     });
     if (body === undefined) {
       this.#load.recordLeftWaiting();
@@ -492,6 +495,7 @@
         ? MAX_EXCESS_BYTES
         : this.#maxBodyBytes,
       pace: this.#pace,
+      countReceived: this.#options.countReceived,
     });
     answer.sendLocal(REJECTION_ANSWERS[kind]);
   }
--- a/packages/forwarding/src/ingress/ingress_server_test.ts
+++ b/packages/forwarding/src/ingress/ingress_server_test.ts
@@ -353,6 +353,7 @@
     isLeaving: () => false,
     findRejection: () => undefined,
     countRejection: () => {},
+    countReceived: () => {},
     countConnection: () => {},
     recordTurn: () => {},
     ...changes,
