Count what a body takes while it arrives, not its length

Cause: ByteCollector doubles its buffer, so that a body in chunks takes up to twice its length; CallerMemory counted the length.

Change: the capacity is counted.

--- a/packages/base/src/common/byte_collector.ts
+++ b/packages/base/src/common/byte_collector.ts
@@ -15,6 +15,11 @@
     return this.#length;
   }
 
+  /** The number of bytes of memory that the collection takes. */
+  get capacity(): number {
+    return this.#buffer.length;
+  }
+
   /** The last collected byte; undefined if there is none. */
   get lastByte(): number | undefined {
     return this.#length === 0 ? undefined : this.#buffer[this.#length - 1];
--- a/packages/base/src/common/byte_collector_test.ts
+++ b/packages/base/src/common/byte_collector_test.ts
@@ -13,6 +13,7 @@
           pieces.forEach((piece) => collector.append(piece));
           const expected = pieces.flatMap((piece) => [...piece]);
           expect(collector.length).to.equal(expected.length);
+          expect(collector.capacity).to.be.at.least(expected.length);
           expect(collector.lastByte).to.equal(expected.at(-1));
           expect([...collector.take()]).to.deep.equal(expected);
           expect(collector.length).to.equal(0);
--- a/packages/forwarding/src/ingress/body_reader.ts
+++ b/packages/forwarding/src/ingress/body_reader.ts
@@ -83,7 +83,7 @@
       }
       body.append(chunk);
       pace.recordPiece(flow, chunk.length);
-      share.update(HeldKind.Body, body.length);
+      share.update(HeldKind.Body, body.capacity);
     });
     request.once("end", () => {
       if (!share.run()) {
