--- a/packages/forwarding/src/scheduling/prompt_cache_map.ts
+++ b/packages/forwarding/src/scheduling/prompt_cache_map.ts
@@ -50,7 +50,7 @@
   ): void {
     for (const { id, tokens } of listSharedParts(prompt)) {
       this.#remove(id);
-      this.#parts.set(copyLongText(id), tokens);
+      this.#parts.set(convertToOwnText(id), tokens);
       this.#tokens += tokens;
       this.#bytes += PART_BYTES + id.length;
     }
@@ -102,7 +102,7 @@
 }
 
 /** Copies a text that would keep the header which it is a part of. */
-function copyLongText(text: string): string {
+function convertToOwnText(text: string): string {
   return text.length < MIN_SLICE_LENGTH
     ? text
     : Buffer.from(text, "utf8").toString("utf8");
