Limit the bytes that the product's own router holds for callers

Callers saw: bodies that stop short of their end take 659 MB of a router, for the 30 s that a body may take.

Cause: each body had a limit on its length and its time, and nothing limited their sum, nor that of complete answers that callers do not take. Requests that a connection sends without waiting for answers were all begun.

Change: CallerMemory and RequestTurns move from forwarding to limits, where both routers use them. `limits.heldBytes` (16 MiB) bounds bodies and answers that were not taken; a caller beyond it gets 503 `queue_full` with Retry-After, not run, or its unread answer's connection is reset. BufferCollector frees what is no longer used.

--- a/packages/forwarding/src/forwarding_router.ts
+++ b/packages/forwarding/src/forwarding_router.ts
@@ -9,7 +9,11 @@
   type Logger,
   RandomSource,
 } from "@rattanvane/base";
-import { DEFAULT_SUSPECT_SETTINGS, SuspectRegistry } from "@rattanvane/limits";
+import {
+  CallerMemory,
+  DEFAULT_SUSPECT_SETTINGS,
+  SuspectRegistry,
+} from "@rattanvane/limits";
 import type { TableFeed } from "@rattanvane/platform";
 import type { VmContact } from "@rattanvane/protocol";
 import { LocalAdmission } from "./admission/local_admission.ts";
@@ -20,7 +24,6 @@
 import type { ForwardingSettings } from "./forwarding_settings.ts";
 import { computeMemoryBudget } from "./ingress/memory_budget.ts";
 import { AnswerMemory } from "./ingress/answer_memory.ts";
-import { CallerMemory } from "./ingress/caller_memory.ts";
 import { CallReader, RejectionKind } from "./ingress/call_reader.ts";
 import type { CallerAnswer } from "./ingress/caller_answer.ts";
 import { EndpointTransport } from "./ingress/endpoint_transport.ts";
--- a/packages/forwarding/src/ingress/body_reader.ts
+++ b/packages/forwarding/src/ingress/body_reader.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import { ByteCollector } from "@rattanvane/base";
 import { RejectionKind } from "./call_reader.ts";
-import { type CallerShare, HeldKind } from "./caller_memory.ts";
+import { type CallerShare, HeldKind } from "@rattanvane/limits";
 import type { PacedReader, PiecePace } from "./piece_pace.ts";
 
 /** A caller that still sends the body of a rejected request is disconnected. */
--- a/packages/forwarding/src/ingress/caller_answer.ts
+++ b/packages/forwarding/src/ingress/caller_answer.ts
@@ -10,7 +10,7 @@
   type CallerShare,
   computeUnreadBytes,
   HeldKind,
-} from "./caller_memory.ts";
+} from "@rattanvane/limits";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const STATUS_UNAVAILABLE = 503;
--- a/packages/forwarding/src/ingress/connection_relay.ts
+++ b/packages/forwarding/src/ingress/connection_relay.ts
@@ -14,7 +14,7 @@
   type CallerShare,
   computeUnreadBytes,
   HeldKind,
-} from "./caller_memory.ts";
+} from "@rattanvane/limits";
 import { RelayTargets } from "./relay_targets.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -21,14 +21,18 @@
 import { readBody, settleBody } from "./body_reader.ts";
 import { type CallReader, RejectionKind } from "./call_reader.ts";
 import { CallerAnswer, type LocalAnswer } from "./caller_answer.ts";
-import type { CallerMemory, CallerShare } from "./caller_memory.ts";
+import {
+  type CallerMemory,
+  type CallerShare,
+  RequestTurns,
+  waitForClose,
+} from "@rattanvane/limits";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { sendConnectionRefusal } from "./connection_refuser.ts";
 import { ConnectionRelay } from "./connection_relay.ts";
 import { type ConnectionEvent, IngressLoad } from "./ingress_load.ts";
 import { IntakeQueue } from "./intake_queue.ts";
 import { PiecePace } from "./piece_pace.ts";
-import { RequestTurns, waitForClose } from "./request_turns.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const RETRY_AFTER_MILLISECONDS = 300;
--- a/packages/forwarding/src/testing/fixtures.ts
+++ b/packages/forwarding/src/testing/fixtures.ts
@@ -1,10 +1,7 @@
 /** Builders of test data for forwarding routes. */
 
 import { createSilentLogger, SystemClock } from "@rattanvane/base";
-import {
-  CallerMemory,
-  type CallerMemoryOptions,
-} from "../ingress/caller_memory.ts";
+import { CallerMemory, type CallerMemoryOptions } from "@rattanvane/limits";
 import type { CallIdentity, ForwardedCall, Prompt } from "../model/call.ts";
 import {
   EndpointPhase,
--- a/packages/forwarding/src/ingress/caller_memory.ts
+++ b/packages/limits/src/caller_memory.ts
@@ -41,6 +41,8 @@
   logger: Logger;
   /** Counts a request whose bytes were released to stay within the limit. */
   countRelease: (kind: HeldKind) => void;
+  /** Counts bytes that are held in addition. */
+  countAdded?: (bytes: number) => void;
 }
 
 /** Sums of bytes, over all organisations and for each. */
@@ -205,6 +207,9 @@
   /** Adds to the bytes of a share; a negative number takes from them. */
   add(share: CallerShare, bytes: number): void {
     share.progressAt = this.#options.clock.now();
+    if (bytes > 0) {
+      this.#options.countAdded?.(bytes);
+    }
     this.#held.add(share.organisation, bytes);
     if (share.bytes === 0) {
       this.#shares.delete(share);
--- a/packages/forwarding/src/ingress/caller_memory_test.ts
+++ b/packages/limits/src/caller_memory_test.ts
@@ -1,8 +1,7 @@
-import { ManualClock } from "@rattanvane/base";
+import { createSilentLogger, ManualClock } from "@rattanvane/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
-import { createCallerMemory } from "../testing/fixtures.ts";
-import { HeldKind } from "./caller_memory.ts";
+import { CallerMemory, HeldKind } from "./caller_memory.ts";
 
 const MAX_BYTES = 100;
 const IDLE_MILLISECONDS = 1_000;
@@ -11,7 +10,12 @@
 function createRecordedMemory() {
   const clock = new ManualClock();
   const released: string[] = [];
-  const memory = createCallerMemory({ maxBytes: MAX_BYTES, clock });
+  const memory = new CallerMemory({
+    maxBytes: MAX_BYTES,
+    clock,
+    logger: createSilentLogger(),
+    countRelease: () => {},
+  });
   const addShare = (organisation: string, name: string) => {
     const share = memory.createShare(() => name);
     share.organisation = organisation;
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -1,5 +1,12 @@
-/** Endpoint limits, cold starts, suspects and quarantine. */
+/** Endpoint limits, cold starts, suspects and quarantine, and callers' memory. */
 
+export {
+  CallerMemory,
+  type CallerMemoryOptions,
+  CallerShare,
+  computeUnreadBytes,
+  HeldKind,
+} from "./caller_memory.ts";
 export {
   type BootReport,
   CrashEvidence,
@@ -14,6 +21,7 @@
 } from "./endpoint_limit_types.ts";
 export type { LimitBounds } from "./adaptive_limit.ts";
 export type { ReportedLoad } from "./reported_load.ts";
+export { RequestTurns, waitForClose } from "./request_turns.ts";
 export {
   DEFAULT_RETRY_BUDGET_SETTINGS,
   RetryBudget,
--- a/packages/router/src/caller/answer.ts
+++ b/packages/router/src/caller/answer.ts
@@ -3,6 +3,7 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { type CallerShare, HeldKind } from "@rattanvane/limits";
 import { HeaderName, type HttpHeader } from "@rattanvane/platform";
 import { CallerError, CallerErrorKind, CallOutcome } from "./caller_error.ts";
 
@@ -81,12 +82,15 @@
   readonly request: string;
   readonly #response: ServerResponse;
   readonly #limits: AnswerLimits;
+  readonly #share: CallerShare;
 
+  /** The share counts the bytes that the caller has not taken. */
   constructor(
     response: ServerResponse,
-    options: { request: string; limits: AnswerLimits },
+    options: { request: string; limits: AnswerLimits; share: CallerShare },
   ) {
-    const { request, limits } = options;
+    const { request, limits, share } = options;
+    this.#share = share;
     this.#response = response;
     this.#limits = limits;
     this.request = request;
@@ -110,6 +114,8 @@
     this.#response.statusCode = status;
     this.#response.setHeader("content-length", options.body.length);
     this.#response.end(options.body);
+    this.#share.release = () => this.#response.req.socket.resetAndDestroy();
+    this.#share.update(HeldKind.Answer, options.body.length);
   }
 
   /** Sends a complete JSON response. */
--- a/packages/router/src/caller/body_reader.ts
+++ b/packages/router/src/caller/body_reader.ts
@@ -7,6 +7,7 @@
   Deferred,
   runWithDeadline,
 } from "@rattanvane/base";
+import { type CallerShare, HeldKind } from "@rattanvane/limits";
 import { CallerError, CallerErrorKind } from "./caller_error.ts";
 
 /** Size and time limits of a request body. */
@@ -14,8 +15,12 @@
   maximumBytes: number;
   timeoutMilliseconds: number;
   clock: Clock;
+  /** Counts the body's bytes, also after it was read. */
+  share: CallerShare;
 }
 
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
 /**
  * Reads a complete request body. Throws a CallerError when it is too long, too
  * slow or truncated.
@@ -30,7 +35,8 @@
     throw createTooLongError(options.maximumBytes);
   }
   const expired = new Deferred<Uint8Array>();
-  return await runWithDeadline(
+  options.share.release = () => expired.reject(createMemoryError());
+  const body = await runWithDeadline(
     () => Promise.race([collectBody(request, options), expired.promise]),
     {
       clock: options.clock,
@@ -39,11 +45,15 @@
     },
     signal,
   );
+  if (!options.share.run()) {
+    throw createMemoryError();
+  }
+  return body;
 }
 
 async function collectBody(
   request: IncomingMessage,
-  { maximumBytes }: ReadBodyOptions,
+  { maximumBytes, share }: ReadBodyOptions,
 ): Promise<Uint8Array> {
   const body = new ByteCollector();
   // The error response to an invalid body is sent on the same connection, so
@@ -56,6 +66,7 @@
         throw createTooLongError(maximumBytes);
       }
       body.append(bytes);
+      share.update(HeldKind.Body, body.capacity);
     }
   } catch (thrown) {
     throw thrown instanceof CallerError ? thrown : createTruncatedError(thrown);
@@ -71,6 +82,14 @@
   );
 }
 
+function createMemoryError(): CallerError {
+  return new CallerError(
+    CallerErrorKind.QueueFull,
+    "This VM holds too many bytes of request bodies",
+    { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
+  );
+}
+
 function createTooLongError(maximumBytes: number): CallerError {
   return new CallerError(
     CallerErrorKind.BodyTooLong,
--- a/packages/router/src/caller/caller_server.ts
+++ b/packages/router/src/caller/caller_server.ts
@@ -9,6 +9,12 @@
 } from "node:http";
 import type { Duplex } from "node:stream";
 import { ChildAbort, describeError, type Logger } from "@rattanvane/base";
+import {
+  type CallerMemory,
+  type CallerShare,
+  RequestTurns,
+  waitForClose,
+} from "@rattanvane/limits";
 import { Answer, type AnswerLimits, convertToCallerError } from "./answer.ts";
 import { CallerError, CallerErrorKind } from "./caller_error.ts";
 import { convertClientError, sendClientError } from "./client_error.ts";
@@ -21,6 +27,8 @@
   requestId: string;
   /** The URL's path, without its query. */
   path: string;
+  /** Counts the bytes that are held for the request. */
+  share: CallerShare;
 }
 
 /** Handles the requests of a set of paths. */
@@ -42,6 +50,8 @@
   headerBytes: number;
   headersTimeoutMilliseconds: number;
   answers: AnswerLimits;
+  /** Limits the bytes that are held for all callers. */
+  memory: CallerMemory;
   handlers: readonly CallerHandler[];
   /** Called with the kind of each error that is sent to a caller. */
   countError: (kind: CallerErrorKind) => void;
@@ -52,6 +62,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #turns: RequestTurns;
   #lifetime: AbortSignal = AbortSignal.abort();
   /** The request in progress on each connection. */
   readonly #requests = new Map<Duplex, IncomingMessage>();
@@ -60,6 +71,7 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#turns = new RequestTurns(options.memory);
     this.#server = createServer({
       maxHeaderSize: options.headerBytes,
       headersTimeout: options.headersTimeoutMilliseconds,
@@ -115,24 +127,33 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const isBehind = response.socket === null;
+    if (isBehind && !await this.#turns.wait(request, response)) {
+      return;
+    }
     const requestId = createRequestId();
+    const { socket } = request;
+    const share = this.#options.memory.createShare(() => socket.remoteAddress);
     const answer = new Answer(response, {
       request: requestId,
       limits: this.#options.answers,
+      share,
     });
     const lifetime = new ChildAbort(this.#lifetime);
-    response.once("close", () => lifetime.abort());
+    waitForClose(response, () => lifetime.abort());
     if (this.#closing) {
       response.setHeader("connection", "close");
     }
     this.#active++;
-    const { socket } = request;
     this.#requests.set(socket, request);
-    response.once("close", () => this.#requests.delete(socket));
+    waitForClose(response, () => {
+      this.#requests.delete(socket);
+      share.close();
+    });
     try {
       const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
       const handler = this.#findHandler(request, path);
-      const exchange = { request, answer, requestId, path };
+      const exchange = { request, answer, requestId, path, share };
       await handler.handle(exchange, lifetime.signal);
     } catch (thrown) {
       this.#sendError(thrown, { answer, request, response });
--- a/packages/router/src/ingress/ingress_context.ts
+++ b/packages/router/src/ingress/ingress_context.ts
@@ -101,10 +101,12 @@
         { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
       );
     }
+    exchange.share.organisation = authenticated.organisation.name;
     const body = await readBody(exchange.request, {
       maximumBytes: limits.bodyBytes,
       timeoutMilliseconds: limits.bodyTimeoutMilliseconds,
       clock,
+      share: exchange.share,
     }, signal);
     return { ...authenticated, body };
   }
--- a/packages/router/src/ingress_parts.ts
+++ b/packages/router/src/ingress_parts.ts
@@ -1,8 +1,12 @@
 /** Creates the components of a router that serve callers. */
 
 import { randomUUID } from "node:crypto";
-import type { Clock, Logger } from "@rattanvane/base";
-import { DEFAULT_RETRY_BUDGET_SETTINGS, RetryBudget } from "@rattanvane/limits";
+import { BufferCollector, type Clock, type Logger } from "@rattanvane/base";
+import {
+  CallerMemory,
+  DEFAULT_RETRY_BUDGET_SETTINGS,
+  RetryBudget,
+} from "@rattanvane/limits";
 import {
   type ForwardingRowWriter,
   generateKeySecret,
@@ -151,8 +155,17 @@
   }
 
   #createServer(context: IngressContext, runner: OnceCallRunner): CallerServer {
-    const { settings, logger, metrics, state, describeStatus } = this.#options;
+    const { settings, clock, logger, metrics, state, describeStatus } =
+      this.#options;
     const { limits, requests, operatorKeyHashes } = settings;
+    const memory: CallerMemory = new CallerMemory({
+      maxBytes: limits.heldBytes,
+      clock,
+      logger: logger.forPart("caller"),
+      countRelease: () => {},
+      countAdded: (bytes) => buffers.record(bytes),
+    });
+    const buffers = new BufferCollector({ readHeldBytes: () => memory.bytes });
     return new CallerServer({
       host: settings.listen.host,
       port: settings.listen.callerPort,
@@ -162,6 +175,7 @@
         bufferBytes: limits.answerBufferBytes,
         stallTimeoutMilliseconds: requests.idleTimeoutMilliseconds,
       },
+      memory,
       countError: (kind) => metrics.ingress.callerErrors.inc({ kind }),
       logger: logger.forPart("caller"),
       handlers: [
--- a/packages/settings/src/tuning_sections.ts
+++ b/packages/settings/src/tuning_sections.ts
@@ -24,6 +24,13 @@
   return buildSection({
     bodyBytes: buildInteger({ minimum: KIBIBYTE, maximum: 256 * MEBIBYTE })
       .default(4 * MEBIBYTE).describe("The maximum size of a request body."),
+    heldBytes: buildInteger({
+      minimum: MEBIBYTE,
+      maximum: 4_096 * MEBIBYTE,
+    }).default(16 * MEBIBYTE).describe(
+      "The maximum size of all request bodies, and of responses that callers " +
+        "have not taken, that this VM holds.",
+    ),
     headerBytes: buildInteger({ minimum: KIBIBYTE, maximum: MEBIBYTE })
       .default(16 * KIBIBYTE)
       .describe("The maximum total size of a request's headers."),
