Refuse heads that are longer than the configuration allows

Callers saw: heads of 60 kB that stop short, on as many connections as a VM has descriptors for, take its memory.

Cause: a head could have 64 KiB whatever `max_header_bytes` says, for the time that it may take.

Change: new connections take heads of that length at most (64 KiB before the first configuration); longer ones get 431.

A head of 16,384 bytes is served.

--- a/packages/forwarding/src/ingress/ingress_server.ts
+++ b/packages/forwarding/src/ingress/ingress_server.ts
@@ -312,8 +312,13 @@
     this.#server.closeAllConnections();
   }
 
-  /** Applies new header and idle time-outs to the callers' connections. */
+  /**
+   * Applies new header and idle time-outs to the callers' connections, and the
+   * length of heads to new ones. Node.js refuses a head that has the length.
+   */
   updateLimits(limits: CallerLimits): void {
+    const maxHeaderSize = Math.min(MAX_HEADER_BYTES, limits.headerBytes + 1);
+    Object.assign(this.#server, { maxHeaderSize });
     this.#server.headersTimeout = limits.headersTimeoutMilliseconds;
     this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
   }
