Fail answers without a length whose connection is reset, at each client

Callers saw: with the product's own router, the part that an endpoint had sent before it reset the connection, as a complete answer with status 200, whatever the length of the upload. The same holds for answers of the store: an object was read, and a write was taken as done, up to the reset.

Cause: undici reports an answer without a length as complete when its connection ends, however it does. Only the transport of forwarding routes knew how a connection had ended; the client of endpoints and the transport to the platform use undici's report as it is.

Change: the pool that all of them send through (createCheckedPool, before createLimitedPool) records how each connection ends, and fails such an answer after a reset or after the end of the server's process. The transport of forwarding routes loses its own copy. A reset is `lost` at endpoints (the call may have run), at the store a read is sent again and a write is of unknown outcome. Connections are half-open everywhere, since a write after the end tells a reset that arrived together with bytes.

Ruled out: the same listeners in each client; refusing all answers without a length, which sound servers send.

Answers without a length whose connection is closed are complete before and now (tests of both clients).

--- /dev/null
+++ b/packages/bench/src/proofs/broken_answers_test.ts
@@ -0,0 +1,156 @@
+import { OperationKind } from "@rattanvane/configuration";
+import { expect } from "chai";
+import { after, before, describe, it } from "mocha";
+import { MODEL_SERVICE, PLAIN_SERVICE } from "../fleet/fleet_options.ts";
+import { generateDatedKey } from "../load/dated_key.ts";
+import type { PlainResult } from "../load/plain_caller.ts";
+import { type RawAnswer, RawEndpoint } from "../testing/raw_endpoint.ts";
+import { type ProofFleet, startProofFleet } from "./proof_fleet.ts";
+
+const OK = 200;
+const SERVER_ERROR = 500;
+const VM = "vm-a1";
+const UPLOAD_BYTES = 900_000;
+const DEADLINE_HEADERS = { "x-deadline-ms": "1000" };
+const SOUND_ANSWER: RawAnswer = {
+  bytes:
+    "HTTP/1.1 200 OK\r\nx-attempt-id: ATTEMPT\r\ncontent-length: 0\r\n\r\n",
+};
+const NOT_RUN = "not_run";
+/** What the endpoint has sent when it breaks off, a whole answer of an engine. */
+const PART =
+  'id: 1\ndata: {"choices":[{"text":"x","finish_reason":"stop"}]}\n\n' +
+  "data: [DONE]\n\n";
+const HEAD = "x-attempt-id: ATTEMPT\r\ncontent-type: text/event-stream\r\n";
+
+/** What a caller got. */
+interface Received {
+  isComplete: boolean;
+  outcome: string;
+  problem: string;
+}
+
+/** Sends one call of a kind of route. */
+type SendCall = (proof: ProofFleet, body: string) => Promise<Received>;
+
+async function sendCompletion(
+  proof: ProofFleet,
+  call: { isStream: boolean; body: string },
+): Promise<Received> {
+  const record = await proof.sendText({
+    vm: VM,
+    prompt: call.body,
+    tokens: 1,
+    isStream: call.isStream,
+    headers: DEADLINE_HEADERS,
+  });
+  const { outcome, problem, status } = record;
+  // An error ends a stream that has begun.
+  const isComplete = status === OK && problem === "";
+  return { isComplete, outcome, problem };
+}
+
+async function sendPlain(
+  proof: ProofFleet,
+  call: { method: string; body?: string; key?: string },
+): Promise<Received> {
+  const { method, body, key } = call;
+  const result: PlainResult = await proof.createPlainCaller().send({
+    url: proof.fleet.router(VM).callerUrl,
+    service: PLAIN_SERVICE,
+    method,
+    path: "/print",
+    headers: DEADLINE_HEADERS,
+    ...(body === undefined ? {} : { body }),
+    ...(key === undefined ? {} : { key }),
+  }, proof.signal);
+  const { status, outcome, text } = result;
+  return { isComplete: status < SERVER_ERROR, outcome, problem: text };
+}
+
+const KINDS: Record<string, SendCall> = {
+  "a completion as a stream": (proof, body) =>
+    sendCompletion(proof, { isStream: true, body }),
+  "a completion as a whole": (proof, body) =>
+    sendCompletion(proof, { isStream: false, body }),
+  "a call that may be repeated": (proof, body) =>
+    sendPlain(proof, { method: "PUT", body }),
+  "a call with a key of the caller": (proof, body) =>
+    sendPlain(proof, {
+      method: "POST",
+      body,
+      key: generateDatedKey(Date.now()),
+    }),
+  "a call with an issued key": async (proof, body) =>
+    sendPlain(proof, { method: "POST", body, key: await proof.issueKey(VM) }),
+};
+
+const ANSWERS: Record<string, RawAnswer> = Object.fromEntries(
+  [0, 5, 50].map((resetAfterMilliseconds) => [
+    `an answer without a length that is reset after ${resetAfterMilliseconds} ms`,
+    {
+      bytes: `HTTP/1.1 200 OK\r\n${HEAD}\r\n${PART}`,
+      resetAfterMilliseconds,
+    },
+  ]),
+);
+
+describe("broken answers of endpoints", () => {
+  const end = new AbortController();
+  let proof: ProofFleet;
+  let endpoint: RawEndpoint;
+  let bodies = 0;
+
+  before(async () => {
+    endpoint = await RawEndpoint.start(end.signal);
+    proof = await startProofFleet({
+      zones: ["zone-a"],
+      routersPerZone: 1,
+      enginesPerZone: 0,
+      plainServicesPerZone: 0,
+      proxied: false,
+    }, end.signal);
+    await proof.fleet.parts.configurator.append(
+      [MODEL_SERVICE, PLAIN_SERVICE].map((service) => ({
+        kind: OperationKind.PutEndpoint,
+        endpoint: {
+          name: `raw-${service}`,
+          zone: "zone-a",
+          service,
+          url: `${endpoint.url}/${service}`,
+          coldLimit: 8,
+          limitCeiling: 8,
+          drained: false,
+          checksFencing: false,
+        },
+      })),
+    );
+    endpoint.answer = SOUND_ANSWER;
+    await proof.wait("the VM uses the endpoints", async () => {
+      await sendCompletion(proof, { isStream: false, body: "x" });
+      return (await sendPlain(proof, { method: "PUT" })).isComplete;
+    });
+  });
+
+  after(async () => {
+    await proof.stop();
+    end.abort();
+  });
+
+  for (const [broken, answer] of Object.entries(ANSWERS)) {
+    for (const [kind, sendCall] of Object.entries(KINDS)) {
+      it(`${broken} reaches no caller of ${kind}`, async () => {
+        endpoint.answer = answer;
+        for (const bytes of [100, UPLOAD_BYTES]) {
+          endpoint.requests = 0;
+          // The router quarantines a body that has crashed endpoints.
+          const body = String(++bodies).padEnd(bytes, "x");
+          const received = await sendCall(proof, body);
+          expect(endpoint.requests, received.problem).to.be.above(0);
+          expect(received.isComplete, received.problem).to.equal(false);
+          expect(received.outcome).to.not.equal(NOT_RUN);
+        }
+      });
+    }
+  }
+});
--- a/packages/forwarding/src/ingress/endpoint_transport.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport.ts
@@ -1,18 +1,16 @@
 /** Sends requests to endpoints over keep-alive connections. */
 
-import type { Socket } from "node:net";
 import {
   addAbortListener,
+  type CheckedPool,
   ConnectError,
+  createCheckedPool,
   createConnector,
-  createLimitedPool,
-  type LimitedPool,
 } from "@rattanvane/platform";
-import type { buildConnector, Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { type Clock, SystemClock } from "@rattanvane/base";
 import type { AnswerHeaders } from "../model/dialect.ts";
 import { AnswerPace } from "./answer_pace.ts";
-import { EndpointConnections } from "./endpoint_connections.ts";
 
 /** Answers from here to the next status precede the final one. */
 const STATUS_INFORMATIONAL = 100;
@@ -80,19 +78,6 @@
   cancel(): void;
 }
 
-/** How a connection ends whose listeners are running. */
-export enum ConnectionEnd {
-  None = "none",
-  /** The endpoint has closed it in the ordinary way. */
-  Closed = "closed",
-  Reset = "reset",
-}
-
-/** Tells the answer of a connection how it ends. */
-interface EndState {
-  current: ConnectionEnd;
-}
-
 /** Optional callbacks of an {@link EndpointTransport}. */
 export interface EndpointTransportOptions {
   /** Counts bytes of answers as they are received. */
@@ -101,10 +86,8 @@
 
 /** Keeps one connection pool for each address. */
 export class EndpointTransport {
-  readonly #endState: EndState = { current: ConnectionEnd.None };
-  readonly #pools = new Map<string, LimitedPool>();
+  readonly #pools = new Map<string, CheckedPool>();
   readonly #clock: Clock = new SystemClock();
-  readonly #connections: EndpointConnections;
   readonly #localAddress: string;
   readonly #signal: AbortSignal;
   readonly #countReceived: (bytes: number) => void;
@@ -118,11 +101,6 @@
     this.#countReceived = countReceived;
     this.#localAddress = localAddress;
     this.#signal = signal;
-    this.#connections = new EndpointConnections({
-      clock: this.#clock,
-      localAddress,
-      signal,
-    });
   }
 
   /**
@@ -135,11 +113,9 @@
     receiver: AnswerReceiver,
   ): SentRequest {
     const handler = new AnswerHandler(receiver, {
-      endState: this.#endState,
       clock: this.#clock,
       mayStart: request.mayStart ?? (() => true),
       countReceived: this.#countReceived,
-      findEndOfProcess: () => this.#connections.findEndOfProcess(address),
     });
     const isEmpty = request.body.length === 0;
     const pool = this.#findOrCreatePool(address);
@@ -166,42 +142,8 @@
     void pool?.pool.close();
   }
 
-  /**
-   * undici reports an answer without a length as complete when its connection
-   * ends, however it does. The connector therefore says how while the listeners
-   * of the connection run.
-   */
-  #createConnector(): buildConnector.connector {
-    const connect = createConnector({
-      connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-      localAddress: this.#localAddress,
-      allowHalfOpen: true,
-    });
-    return (target, callback) => {
-      connect(target, (...[error, socket]) => {
-        if (error !== null) {
-          callback(error, null);
-          return;
-        }
-        this.#connections.add(`${target.hostname}:${target.port}`, socket);
-        socket.on("error", () => this.#recordEnd(ConnectionEnd.Reset));
-        socket.on("end", () => {
-          this.#recordEnd(
-            hasBeenReset(socket) ? ConnectionEnd.Reset : ConnectionEnd.Closed,
-          );
-        });
-        callback(null, socket);
-      });
-    };
-  }
-
-  #recordEnd(end: ConnectionEnd): void {
-    this.#endState.current = end;
-    queueMicrotask(() => this.#endState.current = ConnectionEnd.None);
-  }
-
   /** Returns undefined for an address to which nothing can be sent. */
-  #findOrCreatePool(address: string): LimitedPool | undefined {
+  #findOrCreatePool(address: string): CheckedPool | undefined {
     const existing = this.#pools.get(address);
     if (existing !== undefined) {
       return existing;
@@ -210,8 +152,12 @@
     if (!URL.canParse(url)) {
       return undefined;
     }
-    const pool = createLimitedPool(url, {
-      connect: this.#createConnector(),
+    const pool = createCheckedPool(url, {
+      signal: this.#signal,
+      connect: createConnector({
+        connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+        localAddress: this.#localAddress,
+      }),
       keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MILLISECONDS,
@@ -223,31 +169,17 @@
   }
 }
 
-/**
- * Whether the end of a socket is a reset. One that arrives together with bytes is
- * reported as an end, and a write, also of no bytes, fails then.
- */
-function hasBeenReset(socket: Socket): boolean {
-  socket.write("");
-  return socket.errored !== null;
-}
-
 interface AnswerHandlerOptions {
-  endState: EndState;
   clock: Clock;
   mayStart: () => boolean;
   countReceived: (bytes: number) => void;
-  /** Why the endpoint's process seems to have ended; undefined if it runs. */
-  findEndOfProcess: () => Promise<string | undefined>;
 }
 
 /** Forwards undici's events until the request ends or is cancelled. */
 class AnswerHandler implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: AnswerReceiver;
-  readonly #endState: EndState;
   readonly #mayStart: () => boolean;
   readonly #countReceived: (bytes: number) => void;
-  readonly #findEndOfProcess: () => Promise<string | undefined>;
   readonly #pace: AnswerPace;
   #controller: Dispatcher.DispatchController | undefined;
   /** Whether the receiver, and the pace of the answer, have paused it. */
@@ -257,14 +189,11 @@
 
   constructor(
     receiver: AnswerReceiver,
-    { endState, clock, mayStart, countReceived, findEndOfProcess }:
-      AnswerHandlerOptions,
+    { clock, mayStart, countReceived }: AnswerHandlerOptions,
   ) {
     this.#receiver = receiver;
-    this.#endState = endState;
     this.#mayStart = mayStart;
     this.#countReceived = countReceived;
-    this.#findEndOfProcess = findEndOfProcess;
     this.#pace = new AnswerPace(clock);
   }
 
@@ -326,42 +255,10 @@
     if (this.#isFinished) {
       return;
     }
-    switch (this.#endState.current) {
-      case ConnectionEnd.None:
-        this.#finish();
-        this.#receiver.end();
-        return;
-      case ConnectionEnd.Closed:
-        void this.#judgeClosedAnswer();
-        return;
-      case ConnectionEnd.Reset:
-        this.#failAnswer(
-          "The connection was reset before the answer was complete",
-        );
-    }
-  }
-
-  /** A process that ends closes its connections like one that has said all. */
-  async #judgeClosedAnswer(): Promise<void> {
-    const reason = await this.#findEndOfProcess();
-    if (this.#isFinished) {
-      return;
-    }
-    if (reason !== undefined) {
-      this.#failAnswer(
-        `The endpoint ended with an answer that has no length: ${reason}`,
-      );
-      return;
-    }
     this.#finish();
     this.#receiver.end();
   }
 
-  #failAnswer(reason: string): void {
-    this.#finish();
-    this.#receiver.fail({ kind: TransportFailureKind.Broken, reason });
-  }
-
   onResponseError(
     _controller: Dispatcher.DispatchController,
     error: Error,
--- a/packages/forwarding/src/ingress/endpoint_transport_test.ts
+++ b/packages/forwarding/src/ingress/endpoint_transport_test.ts
@@ -7,6 +7,7 @@
   type Socket,
 } from "node:net";
 import { createLifetime, Deferred } from "@rattanvane/base";
+import { ConnectionEnd } from "@rattanvane/platform";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import type { AnswerHeaders } from "../model/dialect.ts";
@@ -14,7 +15,6 @@
 import {
   type AnswerControl,
   AnswerReceiver,
-  ConnectionEnd,
   EndpointTransport,
   type TransportFailure,
   TransportFailureKind,
--- a/packages/platform/src/http/connector.ts
+++ b/packages/platform/src/http/connector.ts
@@ -19,18 +19,17 @@
   connectTimeoutMilliseconds: number;
   /** The local IP address to connect from; if empty, the system chooses it. */
   localAddress: string;
-  /** Whether a socket can be written to after the other side has ended it. */
-  allowHalfOpen?: boolean;
 }
 
 /** Creates an undici connector that reports every failure as a ConnectError. */
 export function createConnector(
   options: ConnectorOptions,
 ): buildConnector.connector {
-  const { localAddress, connectTimeoutMilliseconds, allowHalfOpen } = options;
+  const { localAddress, connectTimeoutMilliseconds } = options;
   const connect = buildConnector({
     timeout: connectTimeoutMilliseconds,
-    allowHalfOpen: allowHalfOpen ?? false,
+    // A write after the other side has ended tells whether that was a reset.
+    allowHalfOpen: true,
   });
   // A `localAddress` field of the target, even an undefined one, overrides the
   // connector's, so it is set on the target.
--- a/packages/platform/src/http/endpoint_exchange.ts
+++ b/packages/platform/src/http/endpoint_exchange.ts
@@ -8,12 +8,12 @@
 import { addAbortListener } from "./abort_listener.ts";
 import { parseBaseUrl } from "./base_url.ts";
 import { CallTimer } from "./call_timer.ts";
+import { type CheckedPool, createCheckedPool } from "./checked_pool.ts";
 import { ConnectError, createConnector } from "./connector.ts";
 import {
   convertFromIncoming,
   convertToFlatHeaders,
 } from "./endpoint_headers.ts";
-import { createLimitedPool, type LimitedPool } from "./framing_limit.ts";
 
 const STREAM_BUFFER_BYTES = 64 * 1024;
 
@@ -41,7 +41,7 @@
   localAddress: string;
 }
 
-interface EndpointPool extends LimitedPool {
+interface EndpointPool extends CheckedPool {
   pathPrefix: string;
 }
 
@@ -107,13 +107,14 @@
       return known;
     }
     const { origin, pathPrefix } = parseBaseUrl(address.url);
-    const limited = createLimitedPool(origin, {
+    const checked = createCheckedPool(origin, {
+      signal: this.#owner,
       connect: createConnector(this.#options),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    const created = { ...limited, pathPrefix };
+    const created = { ...checked, pathPrefix };
     this.#pools.set(address.url, created);
     return created;
   }
--- a/packages/platform/src/http/fault_server_fixture.ts
+++ b/packages/platform/src/http/fault_server_fixture.ts
@@ -27,13 +27,29 @@
 /** Starts a server; the last handler answers all further requests. */
 export async function startFaultServer(
   ...handlers: RequestHandler[]
+): Promise<FaultServer> {
+  return await startServer(handlers, (request, answer) => {
+    request.resume();
+    request.on("end", answer);
+  });
+}
+
+/** Starts a server that answers without reading the body of a request. */
+export async function startEarlyServer(
+  ...handlers: RequestHandler[]
+): Promise<FaultServer> {
+  return await startServer(handlers, (_request, answer) => answer());
+}
+
+async function startServer(
+  handlers: RequestHandler[],
+  receive: (request: IncomingMessage, answer: () => void) => void,
 ): Promise<FaultServer> {
   const requests: IncomingMessage[] = [];
   const server = createServer((request, response) => {
     const handler = handlers[Math.min(requests.length, handlers.length - 1)];
     requests.push(request);
-    request.resume();
-    request.on("end", () => handler?.(request, response));
+    receive(request, () => handler?.(request, response));
     server.emit("counted");
   });
   server.listen(0, "127.0.0.1");
@@ -99,5 +115,29 @@
   };
 }
 
+/** How a raw answer leaves its connection. */
+export enum RawEnd {
+  Open = "open",
+  /** Closed in the ordinary way. */
+  Closed = "closed",
+  Reset = "reset",
+}
+
+/** Sends bytes as they are, then ends the connection as told. */
+export function createRawAnswer(
+  bytes: string,
+  options: { end?: RawEnd; delayMilliseconds?: number } = {},
+): RequestHandler {
+  const { end = RawEnd.Open, delayMilliseconds = 0 } = options;
+  return ({ socket }) => {
+    socket.write(bytes, "latin1");
+    if (end === RawEnd.Closed) {
+      setTimeout(() => socket.end(), delayMilliseconds);
+    } else if (end === RawEnd.Reset) {
+      setTimeout(() => socket.resetAndDestroy(), delayMilliseconds);
+    }
+  };
+}
+
 /** Never answers. */
 export const neverAnswer: RequestHandler = () => {};
--- a/packages/platform/src/http/http_endpoint_client_test.ts
+++ b/packages/platform/src/http/http_endpoint_client_test.ts
@@ -1,17 +1,24 @@
 import { ManualClock } from "@rattanvane/base";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
-import type { EndpointRequest, EndpointResponse } from "../endpoint_client.ts";
+import type {
+  EndpointAddress,
+  EndpointRequest,
+  EndpointResponse,
+} from "../endpoint_client.ts";
 import { EndpointError, EndpointErrorKind } from "../endpoint_error.ts";
 import {
   createAnswer,
   createCutChunked,
+  createRawAnswer,
   createResetMidBody,
   type FaultServer,
   findClosedUrl,
   neverAnswer,
+  RawEnd,
   type RequestHandler,
   resetBeforeHeaders,
+  startEarlyServer,
   startFaultServer,
 } from "./fault_server_fixture.ts";
 import { HttpEndpointClient } from "./http_endpoint_client.ts";
@@ -21,6 +28,8 @@
 const { BadResponse } = EndpointErrorKind;
 const signal = new AbortController().signal;
 const OWN = { "x-attempt-id": "t1", "x-boot-id": "b1" };
+/** Without a length, chunks or the empty line. */
+const UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: t1\r\n";
 const REQUEST: EndpointRequest = {
   attempt: "t1",
   method: "POST",
@@ -52,6 +61,14 @@
   }
 }
 
+async function findSendError(
+  client: HttpEndpointClient,
+  { address, request }: { address: EndpointAddress; request: EndpointRequest },
+): Promise<unknown> {
+  const result = await client.send(address, request, signal);
+  return result.isErr() ? result.error.kind : await findBodyError(result.value);
+}
+
 describe("HttpEndpointClient", () => {
   const servers: FaultServer[] = [];
 
@@ -59,11 +76,15 @@
     await Promise.all(servers.splice(0).map((server) => server.close()));
   });
 
+  function createClient(clock = new ManualClock()) {
+    return new HttpEndpointClient({ clock }, signal);
+  }
+
   async function createFixture(...handlers: RequestHandler[]) {
     const server = await startFaultServer(...handlers);
     servers.push(server);
     const clock = new ManualClock();
-    const client = new HttpEndpointClient({ clock }, signal);
+    const client = createClient(clock);
     const address = { endpoint: "e1", url: server.url };
     return { server, clock, client, address };
   }
@@ -158,6 +179,62 @@
     });
   }
 
+  for (const bytes of [100, 300_000, 3_000_000]) {
+    for (const delayMilliseconds of [0, 5, 50]) {
+      for (const fields of ["", "connection: close\r\n"]) {
+        const connection = fields === "" ? "kept" : "closing";
+        it(`throws when an answer without a length is reset after ${delayMilliseconds} ms, ${bytes} bytes of request, ${connection} connection`, async () => {
+          const server = await startEarlyServer(
+            createRawAnswer(`${UNFRAMED_HEAD}${fields}\r\n${"x".repeat(80)}`, {
+              end: RawEnd.Reset,
+              delayMilliseconds,
+            }),
+          );
+          servers.push(server);
+          const client = createClient();
+          const address = { endpoint: "e1", url: server.url };
+          const request = { ...REQUEST, body: new Uint8Array(bytes) };
+          expect(await findSendError(client, { address, request })).to.equal(
+            Lost,
+          );
+        });
+      }
+    }
+  }
+
+  it("reads an answer without a length to the end of its connection", async () => {
+    const { client, address } = await createFixture(
+      createRawAnswer(`${UNFRAMED_HEAD}\r\nwhole`, { end: RawEnd.Closed }),
+    );
+    const result = await client.send(address, REQUEST, signal);
+    expect(await collectText(result._unsafeUnwrap())).to.equal("whole");
+  });
+
+  it("throws when the endpoint's process ends with an answer without a length", async () => {
+    const { server, client, address } = await createFixture((request) => {
+      request.socket.write(`${UNFRAMED_HEAD}\r\npart`);
+      setTimeout(() => void server.close(), 20);
+    });
+    expect(await findSendError(client, { address, request: REQUEST })).to.equal(
+      Lost,
+    );
+  });
+
+  it("throws when a resumed answer without a length is reset", async () => {
+    const { client, address } = await createFixture(
+      createRawAnswer(`${UNFRAMED_HEAD}\r\npart`, {
+        end: RawEnd.Reset,
+        delayMilliseconds: 5,
+      }),
+    );
+    const again = { attempt: "t1", offset: 7 };
+    const result = await client.resume(address, again, signal);
+    const kind = result.isErr()
+      ? result.error.kind
+      : await findBodyError(result.value);
+    expect(kind).to.equal(Lost);
+  });
+
   it("gives up when the first byte is late", async () => {
     const { server, clock, client, address } = await createFixture(neverAnswer);
     const sent = client.send(address, REQUEST, signal);
@@ -275,6 +352,14 @@
     ["a missing field", createAnswer(200, '{"bootId":"b1"}'), BadResponse],
     ["an over-long one", createAnswer(200, " ".repeat(70_000)), BadResponse],
     ["a reset mid-body", createResetMidBody(), Lost],
+    [
+      "a reset of one without a length",
+      createRawAnswer(`HTTP/1.1 200 OK\r\n\r\n${JSON.stringify(report)}`, {
+        end: RawEnd.Reset,
+        delayMilliseconds: 5,
+      }),
+      Lost,
+    ],
     ["a wrong status", createAnswer(500, ""), BadResponse],
   ];
   for (const [title, handler, kind] of loadCases) {
--- a/packages/platform/src/http/platform_transport.ts
+++ b/packages/platform/src/http/platform_transport.ts
@@ -12,8 +12,8 @@
 import { parseBaseUrl } from "./base_url.ts";
 import { readBody } from "./body_reader.ts";
 import { CallTimer } from "./call_timer.ts";
+import { type CheckedPool, createCheckedPool } from "./checked_pool.ts";
 import { createConnector } from "./connector.ts";
-import { createLimitedPool, type LimitedPool } from "./framing_limit.ts";
 import type { PlatformBudget } from "./platform_budget.ts";
 import {
   createBudgetError,
@@ -59,7 +59,7 @@
 /** The way to the platform that all clients of one VM share. */
 export class PlatformTransport {
   readonly #options: Required<PlatformTransportOptions>;
-  readonly #pool: LimitedPool;
+  readonly #pool: CheckedPool;
   readonly #pathPrefix: string;
 
   constructor(options: PlatformTransportOptions, signal: AbortSignal) {
@@ -75,7 +75,8 @@
     };
     const { origin, pathPrefix } = parseBaseUrl(options.url);
     this.#pathPrefix = pathPrefix;
-    this.#pool = createLimitedPool(origin, {
+    this.#pool = createCheckedPool(origin, {
+      signal,
       connections: DEFAULT_CONNECTIONS,
       connect: createConnector(this.#options),
       headersTimeout: 0,
--- a/packages/platform/src/http/platform_transport_test.ts
+++ b/packages/platform/src/http/platform_transport_test.ts
@@ -5,10 +5,12 @@
 import {
   createAnswer,
   createCutChunked,
+  createRawAnswer,
   createResetMidBody,
   type FaultServer,
   findClosedUrl,
   neverAnswer,
+  RawEnd,
   type RequestHandler,
   resetBeforeHeaders,
   startFaultServer,
@@ -37,6 +39,13 @@
 }
 
 const tooLong = createAnswer(200, "x".repeat(BODY_LIMIT_BYTES + 1));
+/** The body looks whole. */
+const UNFRAMED = "HTTP/1.1 200 OK\r\n\r\n{}";
+const resetAtOnce = createRawAnswer(UNFRAMED, { end: RawEnd.Reset });
+const resetLater = createRawAnswer(UNFRAMED, {
+  end: RawEnd.Reset,
+  delayMilliseconds: 50,
+});
 const FAULT_CASES: FaultCase[] = [
   ["429", createAnswer(429, ""), Read, RateLimited, true],
   ["429", createAnswer(429, ""), Write, RateLimited, true],
@@ -50,6 +59,10 @@
   ["reset mid-body", createResetMidBody(), Write, OutcomeUnknown, false],
   ["cut chunked answer", createCutChunked(), Read, Unavailable, true],
   ["cut chunked answer", createCutChunked(), Write, OutcomeUnknown, false],
+  ["reset without a length", resetAtOnce, Read, Unavailable, true],
+  ["reset without a length", resetAtOnce, Write, OutcomeUnknown, false],
+  ["late reset without a length", resetLater, Read, Unavailable, true],
+  ["late reset without a length", resetLater, Write, OutcomeUnknown, false],
   ["over-long answer", tooLong, Read, BadResponse, false],
   ["over-long answer", tooLong, Write, OutcomeUnknown, false],
 ].map(([fault, handler, kind, error, retried]) =>
@@ -143,6 +156,17 @@
     });
   }
 
+  for (const kind of [Read, Write]) {
+    it(`a ${kind} takes an answer without a length whose connection is closed`, async () => {
+      const server = await startServer(
+        createRawAnswer(UNFRAMED, { end: RawEnd.Closed }),
+      );
+      const transport = createTransport(server.url);
+      const result = await transport.run(createCall(kind), owner.signal);
+      expect(result._unsafeUnwrap().status).to.equal(200);
+    });
+  }
+
   it("a write whose owner gives up in flight is of unknown outcome", async () => {
     const server = await startServer(neverAnswer);
     const caller = new AbortController();
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -5,17 +5,18 @@
 export { HeaderName } from "./headers.ts";
 export { addAbortListener } from "./http/abort_listener.ts";
 export { BodyTooLongError, readBody } from "./http/body_reader.ts";
+export { ConnectionEnd, FramingLimitError } from "./http/answer_connection.ts";
+export {
+  BrokenAnswerError,
+  type CheckedPool,
+  type CheckedPoolOptions,
+  createCheckedPool,
+} from "./http/checked_pool.ts";
 export {
   ConnectError,
   type ConnectorOptions,
   createConnector,
 } from "./http/connector.ts";
-export {
-  createLimitedPool,
-  FramingLimitError,
-  type LimitedPool,
-  type LimitedPoolOptions,
-} from "./http/framing_limit.ts";
 export { collectForwardedHeaders } from "./http/endpoint_headers.ts";
 export { type PlatformCall, PlatformCallKind } from "./http/platform_call.ts";
 export {
