Refuse answers whose status is outside 100 to 599, at each client

Callers saw: with the product's own router, an endpoint's answer with status 600 or 999, passed on with its body. The store's clients gave an error for 600, but did not send a read again.

Cause: undici's parser refuses a status below 100 or of other than three digits, and takes all others. Only the transport of forwarding routes checked what is left.

Change: the pool that all clients send through aborts such an answer at its head, with an InvalidAnswerError: `lost` at endpoints (the call may have run), and at the store a read is sent again and a write is of unknown outcome. Nothing of it has been given on then, and its connection is closed. The stand-in of "broken answers of endpoints" closes its connection after an answer that is not reset: it left it open without reading on, so that the next request on it waited for a minute.

--- a/packages/bench/src/proofs/broken_answers_test.ts
+++ b/packages/bench/src/proofs/broken_answers_test.ts
@@ -9,6 +9,7 @@
 
 const OK = 200;
 const SERVER_ERROR = 500;
+const MAX_STATUS = 599;
 const VM = "vm-a1";
 const UPLOAD_BYTES = 900_000;
 const DEADLINE_HEADERS = { "x-deadline-ms": "1000" };
@@ -30,6 +31,10 @@
   problem: string;
 }
 
+function isServerError(status: number): boolean {
+  return status >= SERVER_ERROR && status <= MAX_STATUS;
+}
+
 /** Sends one call of a kind of route. */
 type SendCall = (proof: ProofFleet, body: string) => Promise<Received>;
 
@@ -46,7 +51,7 @@
   });
   const { outcome, problem, status } = record;
   // An error ends a stream that has begun.
-  const isComplete = status === OK && problem === "";
+  const isComplete = status === OK ? problem === "" : !isServerError(status);
   return { isComplete, outcome, problem };
 }
 
@@ -65,7 +70,7 @@
     ...(key === undefined ? {} : { key }),
   }, proof.signal);
   const { status, outcome, text } = result;
-  return { isComplete: status < SERVER_ERROR, outcome, problem: text };
+  return { isComplete: !isServerError(status), outcome, problem: text };
 }
 
 const KINDS: Record<string, SendCall> = {
@@ -85,15 +90,22 @@
     sendPlain(proof, { method: "POST", body, key: await proof.issueKey(VM) }),
 };
 
-const ANSWERS: Record<string, RawAnswer> = Object.fromEntries(
-  [0, 5, 50].map((resetAfterMilliseconds) => [
+const ANSWERS: Record<string, RawAnswer> = Object.fromEntries([
+  ...[0, 5, 50].map((resetAfterMilliseconds) => [
     `an answer without a length that is reset after ${resetAfterMilliseconds} ms`,
     {
       bytes: `HTTP/1.1 200 OK\r\n${HEAD}\r\n${PART}`,
       resetAfterMilliseconds,
     },
   ]),
-);
+  ...["000", "099", "600", "999"].map((status) => [
+    `an answer with the status ${status}`,
+    {
+      bytes: `HTTP/1.1 ${status} OK\r\n${HEAD}` +
+        `content-length: ${PART.length}\r\n\r\n${PART}`,
+    },
+  ]),
+]);
 
 describe("broken answers of endpoints", () => {
   const end = new AbortController();
--- a/packages/bench/src/testing/raw_endpoint.ts
+++ b/packages/bench/src/testing/raw_endpoint.ts
@@ -9,7 +9,10 @@
 export interface RawAnswer {
   /** ATTEMPT stands for the id of the attempt. */
   bytes: string;
-  /** When the connection is reset, after the bytes; it stays open if unset. */
+  /**
+   * When the connection is reset, after the bytes. Without it the connection is
+   * closed in the ordinary way.
+   */
   resetAfterMilliseconds?: number;
 }
 
@@ -56,7 +59,6 @@
         socket.write(formatLoadReport());
         return;
       }
-      socket.pause();
       this.#sendAnswer(socket, complete);
     });
   }
@@ -65,10 +67,14 @@
     const { bytes, resetAfterMilliseconds } = this.answer;
     const attempt = /x-attempt-id: (\S+)/i.exec(head)?.[1] ?? "";
     this.requests++;
-    socket.write(bytes.replace("ATTEMPT", attempt), "latin1");
-    if (resetAfterMilliseconds !== undefined) {
-      setTimeout(() => socket.resetAndDestroy(), resetAfterMilliseconds);
+    const answer = bytes.replace("ATTEMPT", attempt);
+    if (resetAfterMilliseconds === undefined) {
+      socket.end(answer, "latin1");
+      return;
     }
+    socket.pause();
+    socket.write(answer, "latin1");
+    setTimeout(() => socket.resetAndDestroy(), resetAfterMilliseconds);
   }
 }
 
--- a/packages/platform/src/http/checked_pool.ts
+++ b/packages/platform/src/http/checked_pool.ts
@@ -5,9 +5,15 @@
 import { AnswerConnection, ConnectionEnd } from "./answer_connection.ts";
 import { OpenConnections } from "./open_connections.ts";
 
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Fails an answer that has ended before it was complete. */
 export class BrokenAnswerError extends Error {}
 
+/** Fails an answer whose head is not one that HTTP allows. */
+export class InvalidAnswerError extends Error {}
+
 /** A pool whose answers are checked. */
 export interface CheckedPool {
   /** Closes the connections. */
@@ -26,8 +32,9 @@
 
 /**
  * Creates a pool that fails an answer with a {@link BrokenAnswerError} when only
- * the end of its connection could show that it is complete and does not, and with
- * a `FramingLimitError` when it consists of much more than its body.
+ * the end of its connection could show that it is complete and does not, with an
+ * {@link InvalidAnswerError} when its head is invalid, and with a
+ * `FramingLimitError` when it consists of much more than its body.
  */
 export function createCheckedPool(
   origin: string,
@@ -127,6 +134,12 @@
     headers: Record<string, string | string[]>,
     message?: string,
   ): void {
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      controller.abort(
+        new InvalidAnswerError(`The status ${status} is invalid`),
+      );
+      return;
+    }
     this.#connection ??= this.#options.findCurrent();
     if (this.#connection !== undefined) {
       this.#connection.controller = controller;
--- a/packages/platform/src/http/http_endpoint_client_test.ts
+++ b/packages/platform/src/http/http_endpoint_client_test.ts
@@ -30,6 +30,7 @@
 const OWN = { "x-attempt-id": "t1", "x-boot-id": "b1" };
 /** Without a length, chunks or the empty line. */
 const UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: t1\r\n";
+const INVALID_STATUSES = ["000", "099", "600", "999", "20", "2000", "abc"];
 const REQUEST: EndpointRequest = {
   attempt: "t1",
   method: "POST",
@@ -235,6 +236,30 @@
     expect(kind).to.equal(Lost);
   });
 
+  for (const status of INVALID_STATUSES) {
+    it(`takes no answer with the status ${status}`, async () => {
+      const { client, address } = await createFixture(
+        createRawAnswer(
+          `HTTP/1.1 ${status} OK\r\nx-attempt-id: t1\r\ncontent-length: 1\r\n\r\nx`,
+        ),
+      );
+      const request = REQUEST;
+      expect(await findSendError(client, { address, request })).to.equal(Lost);
+    });
+  }
+
+  it("reads an answer after informational ones", async () => {
+    const { client, address } = await createFixture(
+      createRawAnswer(
+        "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n" +
+          "HTTP/1.1 102 Processing\r\n\r\n" +
+          `${UNFRAMED_HEAD}content-length: 5\r\n\r\nwhole`,
+      ),
+    );
+    const result = await client.send(address, REQUEST, signal);
+    expect(await collectText(result._unsafeUnwrap())).to.equal("whole");
+  });
+
   it("gives up when the first byte is late", async () => {
     const { server, clock, client, address } = await createFixture(neverAnswer);
     const sent = client.send(address, REQUEST, signal);
--- a/packages/platform/src/http/platform_transport_test.ts
+++ b/packages/platform/src/http/platform_transport_test.ts
@@ -46,6 +46,8 @@
   end: RawEnd.Reset,
   delayMilliseconds: 50,
 });
+const createStatus = (status: string) =>
+  createRawAnswer(`HTTP/1.1 ${status} OK\r\ncontent-length: 2\r\n\r\n{}`);
 const FAULT_CASES: FaultCase[] = [
   ["429", createAnswer(429, ""), Read, RateLimited, true],
   ["429", createAnswer(429, ""), Write, RateLimited, true],
@@ -63,6 +65,10 @@
   ["reset without a length", resetAtOnce, Write, OutcomeUnknown, false],
   ["late reset without a length", resetLater, Read, Unavailable, true],
   ["late reset without a length", resetLater, Write, OutcomeUnknown, false],
+  ["the status 000", createStatus("000"), Read, Unavailable, true],
+  ["the status 000", createStatus("000"), Write, OutcomeUnknown, false],
+  ["the status 600", createStatus("600"), Read, Unavailable, true],
+  ["the status 600", createStatus("600"), Write, OutcomeUnknown, false],
   ["over-long answer", tooLong, Read, BadResponse, false],
   ["over-long answer", tooLong, Write, OutcomeUnknown, false],
 ].map(([fault, handler, kind, error, retried]) =>
