Test that answers with an invalid field line reach no caller

No change of the product: undici's parser refuses a blank, a tab, a control byte, 0xE9 or a parenthesis in a field's name, a blank before the colon (also of content-length and transfer-encoding), an empty name, a line without a colon, a folded line and a control byte in a value. The tests hold that on each reader, so that another parser or option cannot lose it: forwarding routes of each kind, also beside an upload and to a pipelined caller, the product's own router with each kind of call (a real process), its client of endpoints, and the transport to the store.

--- a/packages/bench/src/proofs/broken_answers_test.ts
+++ b/packages/bench/src/proofs/broken_answers_test.ts
@@ -1,4 +1,5 @@
 import { OperationKind } from "@rattanvane/configuration";
+import { INVALID_HEADS } from "@rattanvane/platform/testing";
 import { expect } from "chai";
 import { after, before, describe, it } from "mocha";
 import { MODEL_SERVICE, PLAIN_SERVICE } from "../fleet/fleet_options.ts";
@@ -105,6 +106,17 @@
         `content-length: ${PART.length}\r\n\r\n${PART}`,
     },
   ]),
+  ...Object.entries(INVALID_HEADS).map(([fault, formatAnswer]) => [
+    `an answer with ${fault}`,
+    { bytes: formatAnswer({ fields: HEAD, body: PART }) },
+  ]),
+  [
+    "an answer with a blank in the name of a trailer field",
+    {
+      bytes: `HTTP/1.1 200 OK\r\n${HEAD}transfer-encoding: chunked\r\n\r\n` +
+        `${PART.length.toString(16)}\r\n${PART}\r\n0\r\nx bad: 1\r\n\r\n`,
+    },
+  ],
 ]);
 
 describe("broken answers of endpoints", () => {
--- a/packages/forwarding/src/early_answers_test.ts
+++ b/packages/forwarding/src/early_answers_test.ts
@@ -7,6 +7,7 @@
   type Server,
   type Socket,
 } from "node:net";
+import { INVALID_HEADS } from "@rattanvane/platform/testing";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import { Repeatability } from "./model/route.ts";
@@ -37,6 +38,18 @@
   "-1",
 ];
 
+/** Answers to uploads, by what is wrong with them. */
+const INVALID_ANSWERS: Record<string, string> = Object.fromEntries([
+  ...INVALID_STATUSES.map((status) => [
+    `the status ${status}`,
+    `HTTP/1.1 ${status} OK\r\n${SEALED}content-length: 15\r\n\r\n${EVENT}`,
+  ]),
+  ...Object.entries(INVALID_HEADS).map(([fault, formatAnswer]) => [
+    fault,
+    formatAnswer({ fields: SEALED, body: EVENT }),
+  ]),
+]);
+
 type Router = Awaited<ReturnType<RouterHarness["startReadyRouter"]>>;
 
 /** A request as an endpoint has read it, with the length of its body. */
@@ -213,16 +226,13 @@
       }
     });
 
-    for (const status of INVALID_STATUSES) {
-      it(`gives no answer with the status ${status}: ${repeatability}`, async () => {
+    for (const [fault, answer] of Object.entries(INVALID_ANSWERS)) {
+      it(`gives no answer with ${fault}: ${repeatability}`, async () => {
         await startEndpoint((socket, target) => {
           if (target === "/a/good") {
             sendWhole(socket, EVENT);
           } else {
-            socket.write(
-              `HTTP/1.1 ${status} OK\r\n${SEALED}content-length: 15\r\n\r\n` +
-                EVENT,
-            );
+            socket.write(answer, "latin1");
           }
         });
         const router = await startRouter(repeatability);
--- a/packages/platform/src/http/http_endpoint_client_test.ts
+++ b/packages/platform/src/http/http_endpoint_client_test.ts
@@ -21,6 +21,7 @@
   startEarlyServer,
   startFaultServer,
 } from "./fault_server_fixture.ts";
+import { INVALID_HEADS } from "../testing/invalid_heads.ts";
 import { HttpEndpointClient } from "./http_endpoint_client.ts";
 
 const { NotSent, Refused, Lost, TimedOut, CrossedAnswer, Cancelled } =
@@ -248,6 +249,17 @@
     });
   }
 
+  for (const [fault, formatAnswer] of Object.entries(INVALID_HEADS)) {
+    it(`takes no answer with ${fault}`, async () => {
+      const parts = { fields: "x-attempt-id: t1\r\n", body: "whole" };
+      const { client, address } = await createFixture(
+        createRawAnswer(formatAnswer(parts)),
+      );
+      const request = REQUEST;
+      expect(await findSendError(client, { address, request })).to.equal(Lost);
+    });
+  }
+
   it("reads an answer after informational ones", async () => {
     const { client, address } = await createFixture(
       createRawAnswer(
--- a/packages/platform/src/http/platform_transport_test.ts
+++ b/packages/platform/src/http/platform_transport_test.ts
@@ -1,6 +1,7 @@
 import { ManualClock, RandomSource, SystemClock } from "@rattanvane/base";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
+import { INVALID_HEADS } from "../testing/invalid_heads.ts";
 import { PlatformErrorKind } from "../platform_error.ts";
 import {
   createAnswer,
@@ -48,6 +49,10 @@
 });
 const createStatus = (status: string) =>
   createRawAnswer(`HTTP/1.1 ${status} OK\r\ncontent-length: 2\r\n\r\n{}`);
+const invalidTrailer = createRawAnswer(
+  "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" +
+    "2\r\n{}\r\n0\r\nx bad: 1\r\n\r\n",
+);
 const FAULT_CASES: FaultCase[] = [
   ["429", createAnswer(429, ""), Read, RateLimited, true],
   ["429", createAnswer(429, ""), Write, RateLimited, true],
@@ -69,6 +74,15 @@
   ["the status 000", createStatus("000"), Write, OutcomeUnknown, false],
   ["the status 600", createStatus("600"), Read, Unavailable, true],
   ["the status 600", createStatus("600"), Write, OutcomeUnknown, false],
+  ...Object.entries(INVALID_HEADS).flatMap(([fault, formatAnswer]) => {
+    const answer = createRawAnswer(formatAnswer({ fields: "", body: "{}" }));
+    return [
+      [fault, answer, Read, Unavailable, true],
+      [fault, answer, Write, OutcomeUnknown, false],
+    ];
+  }),
+  ["a blank in a trailer field", invalidTrailer, Read, Unavailable, true],
+  ["a blank in a trailer field", invalidTrailer, Write, OutcomeUnknown, false],
   ["over-long answer", tooLong, Read, BadResponse, false],
   ["over-long answer", tooLong, Write, OutcomeUnknown, false],
 ].map(([fault, handler, kind, error, retried]) =>
