Refuse answers with a transfer coding other than chunked, at each client

Callers saw: an answer with "transfer-encoding: gzip, chunked" or "chunked, chunked" as complete, with the coding dropped, so that the body was not the server's; streams and the product's own router also with "chunked, gzip", "gzip" and "identity".

Cause: undici reports the fields and removes the chunks, but does not look at the other codings, and no client did.

Change: the pool that all clients send through refuses an answer whose transfer-encoding is not exactly "chunked" at its head, before any part of it is given on.

Ruled out: decoding the codings, which no client of ours offers in `te`.

--- a/packages/platform/src/http/checked_pool.ts
+++ b/packages/platform/src/http/checked_pool.ts
@@ -7,6 +7,7 @@
 
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
+const CHUNKED = "chunked";
 
 /** Fails an answer that has ended before it was complete. */
 export class BrokenAnswerError extends Error {}
@@ -134,10 +135,9 @@
     headers: Record<string, string | string[]>,
     message?: string,
   ): void {
-    if (status < MIN_STATUS || status > MAX_STATUS) {
-      controller.abort(
-        new InvalidAnswerError(`The status ${status} is invalid`),
-      );
+    const fault = findHeadFault(status, headers);
+    if (fault !== undefined) {
+      controller.abort(new InvalidAnswerError(fault));
       return;
     }
     this.#connection ??= this.#options.findCurrent();
@@ -210,3 +210,21 @@
     this.#handler.onResponseError?.(controller, error);
   }
 }
+
+/**
+ * Returns what is wrong with a head, if anything is. undici removes the chunks of
+ * an answer with several transfer codings, and ignores the other codings.
+ */
+function findHeadFault(
+  status: number,
+  headers: Record<string, string | string[]>,
+): string | undefined {
+  if (status < MIN_STATUS || status > MAX_STATUS) {
+    return `The status ${status} is invalid`;
+  }
+  const coding = String(headers["transfer-encoding"] ?? CHUNKED);
+  if (coding.toLowerCase() !== CHUNKED) {
+    return `The transfer coding "${coding}" is not supported`;
+  }
+  return undefined;
+}
--- a/packages/platform/src/testing/invalid_heads.ts
+++ b/packages/platform/src/testing/invalid_heads.ts
@@ -25,6 +25,14 @@
   "a control byte in a field value": "x-bad: a\x01b",
 };
 
+const CODINGS = [
+  "gzip",
+  "identity",
+  "gzip, chunked",
+  "chunked, gzip",
+  "chunked, chunked",
+];
+
 function formatLength(body: string): string {
   return `content-length: ${body.length}\r\n\r\n${body}`;
 }
@@ -33,8 +41,8 @@
   return `\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
 }
 
-/** Answers with an invalid field line in their head, by what is wrong with it. */
-export const INVALID_HEADS: Record<string, AnswerFormat> = {
+/** Answers with an invalid field line, by what is wrong with it. */
+const INVALID_FIELDS: Record<string, AnswerFormat> = {
   ...Object.fromEntries(
     Object.entries(FIELD_LINES).map(([fault, line]): [string, AnswerFormat] => [
       fault,
@@ -48,3 +56,19 @@
     `HTTP/1.1 200 OK\r\n${fields}transfer-encoding : chunked\r\n` +
     formatChunks(body),
 };
+
+/** Answers with a coding other than `chunked`, by their transfer-encoding. */
+const INVALID_CODINGS: Record<string, AnswerFormat> = Object.fromEntries(
+  CODINGS.map((coding) => [
+    `the transfer coding "${coding}"`,
+    ({ fields, body }) =>
+      `HTTP/1.1 200 OK\r\n${fields}transfer-encoding: ${coding}\r\n` +
+      formatChunks(body),
+  ]),
+);
+
+/** The answers, by what is wrong with their head. */
+export const INVALID_HEADS: Record<string, AnswerFormat> = {
+  ...INVALID_FIELDS,
+  ...INVALID_CODINGS,
+};
