Refuse answers with a control byte in their reason phrase, at each client

Callers saw: such an answer as complete, on each kind of route and from the store.

Cause: undici's parser checks the bytes of fields, but not those of the reason phrase.

Change: the pool that all clients send through refuses the answer at its head, as the parser does for a control byte in a field.

Ruled out: leaving it, since clients do not use the phrase: a head with such bytes is not one that a sound server sends, so that its body is not to be trusted either.

--- a/packages/platform/src/http/checked_pool.ts
+++ b/packages/platform/src/http/checked_pool.ts
@@ -8,6 +8,7 @@
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
 const CHUNKED = "chunked";
+const VALID_REASON = /^[\t\x20-\x7E\x80-\u{10FFFF}]*$/u;
 
 /** Fails an answer that has ended before it was complete. */
 export class BrokenAnswerError extends Error {}
@@ -135,7 +136,7 @@
     headers: Record<string, string | string[]>,
     message?: string,
   ): void {
-    const fault = findHeadFault(status, headers);
+    const fault = findHeadFault(status, headers, message);
     if (fault !== undefined) {
       controller.abort(new InvalidAnswerError(fault));
       return;
@@ -218,10 +219,14 @@
 function findHeadFault(
   status: number,
   headers: Record<string, string | string[]>,
+  reason = "",
 ): string | undefined {
   if (status < MIN_STATUS || status > MAX_STATUS) {
     return `The status ${status} is invalid`;
   }
+  if (!VALID_REASON.test(reason)) {
+    return "The reason phrase holds a control byte";
+  }
   const coding = String(headers["transfer-encoding"] ?? CHUNKED);
   if (coding.toLowerCase() !== CHUNKED) {
     return `The transfer coding "${coding}" is not supported`;
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -11,6 +11,7 @@
   type CheckedPool,
   type CheckedPoolOptions,
   createCheckedPool,
+  InvalidAnswerError,
 } from "./http/checked_pool.ts";
 export {
   ConnectError,
--- a/packages/platform/src/testing/invalid_heads.ts
+++ b/packages/platform/src/testing/invalid_heads.ts
@@ -33,6 +33,8 @@
   "chunked, chunked",
 ];
 
+const REASONS = { "0x01": "O\x01K", "0x7F": "O\x7FK" };
+
 function formatLength(body: string): string {
   return `content-length: ${body.length}\r\n\r\n${body}`;
 }
@@ -67,8 +69,18 @@
   ]),
 );
 
+/** Answers with a control byte in their reason phrase, by that byte. */
+const INVALID_REASONS: Record<string, AnswerFormat> = Object.fromEntries(
+  Object.entries(REASONS).map(([byte, reason]): [string, AnswerFormat] => [
+    `${byte} in the reason phrase`,
+    ({ fields, body }) =>
+      `HTTP/1.1 200 ${reason}\r\n${fields}${formatLength(body)}`,
+  ]),
+);
+
 /** The answers, by what is wrong with their head. */
 export const INVALID_HEADS: Record<string, AnswerFormat> = {
   ...INVALID_FIELDS,
   ...INVALID_CODINGS,
+  ...INVALID_REASONS,
 };
