Fail the answer of a VM to the command line that is reset

Operators saw: `rattanvane status` took what a VM had sent before its connection was reset as the whole answer, and ended with exit code 0.

Cause: the command read VMs with undici's request, not through the pool that checks answers.

Change: it sends through createCheckedPool, and reports such an answer like a VM that cannot be reached.

--- a/packages/cli/src/process_environment.ts
+++ b/packages/cli/src/process_environment.ts
@@ -5,12 +5,13 @@
 import process from "node:process";
 import { RandomSource, SystemClock } from "@rattanvane/base";
 import {
+  createCheckedPool,
+  createConnector,
   HttpObjectStore,
   HttpTableService,
   PlatformBudget,
   PlatformTransport,
 } from "@rattanvane/platform";
-import { request } from "undici";
 import type {
   CommandEnvironment,
   PlatformAccess,
@@ -66,10 +67,26 @@
 }
 
 async function readVm(url: string, key: string): Promise<VmAnswer> {
-  const answer = await request(url, {
-    headers: { authorization: `Bearer ${key}` },
+  const { origin, pathname, search } = new URL(url);
+  const end = new AbortController();
+  const { pool, dispatcher } = createCheckedPool(origin, {
+    connect: createConnector({
+      connectTimeoutMilliseconds: VM_TIMEOUT_MILLISECONDS,
+      localAddress: "",
+    }),
     headersTimeout: VM_TIMEOUT_MILLISECONDS,
     bodyTimeout: VM_TIMEOUT_MILLISECONDS,
+    signal: end.signal,
   });
-  return { status: answer.statusCode, body: await answer.body.text() };
+  try {
+    const answer = await dispatcher.request({
+      method: "GET",
+      path: pathname + search,
+      headers: { authorization: `Bearer ${key}` },
+    });
+    return { status: answer.statusCode, body: await answer.body.text() };
+  } finally {
+    end.abort();
+    await pool.destroy();
+  }
 }
