--- a/packages/bench/src/proofs/broken_answers_test.ts
+++ b/packages/bench/src/proofs/broken_answers_test.ts
@@ -1,3 +1,5 @@
+import process from "node:process";
+import { RandomSource } from "@rattanvane/base";
 import { OperationKind } from "@rattanvane/configuration";
 import { INVALID_HEADS } from "@rattanvane/platform/testing";
 import { expect } from "chai";
@@ -18,6 +20,8 @@
   bytes:
     "HTTP/1.1 200 OK\r\nx-attempt-id: ATTEMPT\r\ncontent-length: 0\r\n\r\n",
 };
+const SOAK_ROUNDS = 8;
+const MAX_RESET_DELAY = 80;
 const NOT_RUN = "not_run";
 /** What the endpoint has sent when it breaks off, a whole answer of an engine. */
 const PART =
@@ -119,6 +123,29 @@
   ],
 ]);
 
+/** Lists the seeds from "101-150" in the environment, or a few for CI. */
+function listSeeds(): number[] {
+  const range = /^(\d+)-(\d+)$/.exec(process.env["SOAK_SEEDS"] ?? "");
+  const [first = 1, last = 3] = range?.slice(1).map(Number) ?? [];
+  return Array.from({ length: last - first + 1 }, (_, index) => first + index);
+}
+
+/** Generates an answer that is broken in its head, or before its end. */
+function generateBrokenAnswer(random: RandomSource): RawAnswer {
+  const formatInvalid = random.pick(Object.values(INVALID_HEADS));
+  if (formatInvalid !== undefined && random.nextFraction() < 0.3) {
+    return { bytes: formatInvalid({ fields: HEAD, body: PART }) };
+  }
+  const version = random.pick(["1.0", "1.1"]) ?? "";
+  const close = random.pick(["", "connection: close\r\n"]) ?? "";
+  const framing = random.pick(["", `content-length: ${PART.length + 1}\r\n`]);
+  return {
+    bytes: `HTTP/${version} 200 OK\r\n${close}${HEAD}${framing}\r\n` +
+      PART.slice(0, random.nextInteger(0, PART.length)),
+    resetAfterMilliseconds: random.nextInteger(0, MAX_RESET_DELAY),
+  };
+}
+
 describe("broken answers of endpoints", () => {
   const end = new AbortController();
   let proof: ProofFleet;
@@ -177,4 +204,25 @@
       });
     }
   }
+
+  for (const seed of listSeeds()) {
+    it(`reach no caller of several calls at once (seed ${seed})`, async () => {
+      const random = new RandomSource(seed);
+      endpoint.requests = 0;
+      for (let round = 0; round < SOAK_ROUNDS; round++) {
+        endpoint.answer = generateBrokenAnswer(random);
+        const calls = Object.entries(KINDS).map(async ([kind, sendCall]) => {
+          const bytes = random.nextInteger(0, UPLOAD_BYTES);
+          const received = await sendCall(
+            proof,
+            String(++bodies).padEnd(bytes, "x"),
+          );
+          const shown = `${kind}: ${JSON.stringify(endpoint.answer)}`;
+          expect(received.isComplete, shown).to.equal(false);
+        });
+        await Promise.all(calls);
+      }
+      expect(endpoint.requests).to.be.above(SOAK_ROUNDS);
+    });
+  }
 });
