--- a/packages/bench/src/proofs/broken_answers_test.ts
+++ b/packages/bench/src/proofs/broken_answers_test.ts
@@ -21,7 +21,8 @@
     "HTTP/1.1 200 OK\r\nx-attempt-id: ATTEMPT\r\ncontent-length: 0\r\n\r\n",
 };
 const SOAK_ROUNDS = 8;
-const MAX_RESET_DELAY = 80;
+const INVALID_HEAD_SHARE = 0.3;
+const MAX_RESET_DELAY_MILLISECONDS = 80;
 const NOT_RUN = "not_run";
 /** What the endpoint has sent when it breaks off, a whole answer of an engine. */
 const PART =
@@ -133,7 +134,9 @@
 /** Generates an answer that is broken in its head, or before its end. */
 function generateBrokenAnswer(random: RandomSource): RawAnswer {
   const formatInvalid = random.pick(Object.values(INVALID_HEADS));
-  if (formatInvalid !== undefined && random.nextFraction() < 0.3) {
+  if (
+    formatInvalid !== undefined && random.nextFraction() < INVALID_HEAD_SHARE
+  ) {
     return { bytes: formatInvalid({ fields: HEAD, body: PART }) };
   }
   const version = random.pick(["1.0", "1.1"]) ?? "";
@@ -142,7 +145,7 @@
   return {
     bytes: `HTTP/${version} 200 OK\r\n${close}${HEAD}${framing}\r\n` +
       PART.slice(0, random.nextInteger(0, PART.length)),
-    resetAfterMilliseconds: random.nextInteger(0, MAX_RESET_DELAY),
+    resetAfterMilliseconds: random.nextInteger(0, MAX_RESET_DELAY_MILLISECONDS),
   };
 }
 
